--- /dev/null
+++ b/cherrygrade/__init__.py
@@ -0,0 +1,1 @@
+"""cherrygrade schedules a host's reads and writes before shared storage nodes."""
--- /dev/null
+++ b/cherrygrade/wirehost/host.py
@@ -0,0 +1,300 @@
+"""Reads the bench's lines, keeps ids and objects apart, and hosts one dispatcher an instance.
+
+Ids are known here only: `Instance.rpcs` loses an RPC once it is over and no send of it is out;
+`Instance.nodes` lasts as long as the instance, a node a machine; both go with the instance.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from cherrygrade.interface import Node, Rpc, Send, Standing
+from cherrygrade.policy import Dispatcher
+from cherrygrade.wirehost.codec import (
+    OUTCOMES,
+    STANDINGS,
+    StartPairs,
+    flag,
+    load_report,
+    ms,
+    number,
+    seconds,
+)
+
+
+class MalformedLineError(Exception):
+    """A line that the protocol does not allow."""
+
+
+class InstanceWriter:
+    """Writes one instance's decisions as lines, in the order they are made."""
+
+    def __init__(self, who: str, lines: list[str]) -> None:
+        self.who = who
+        self.now = 0.0
+        self.ended: set[str] = set()
+        self._lines = lines
+
+    def _write(self, *parts: str) -> None:
+        self._lines.append("\t".join((parts[0], self.who, *parts[1:])))
+
+    def send(self, rpc: Rpc, node: Node, limit_ms: float) -> Send:
+        send = Send(rpc=rpc, node=node, number=len(rpc.sends), sent_ms=self.now)
+        rpc.sends.append(send)
+        self._write("ROUTE", rpc.id, seconds(limit_ms), node.address)
+        return send
+
+    def cancel(self, send: Send) -> None:
+        self._write("RECALL", send.rpc.id, str(send.number))
+
+    def reject(self, rpc: Rpc, come_back_ms: float) -> None:
+        rpc.over = True
+        self.ended.add(rpc.id)
+        self._write("DENY", rpc.id, seconds(come_back_ms))
+
+    def error(self, rpc: Rpc) -> None:
+        rpc.over = True
+        self.ended.add(rpc.id)
+        self._write("ABORT", rpc.id)
+
+    def wake(self, after_ms: float) -> None:
+        self._write("SCHEDULE", seconds(after_ms), "0")
+
+    def probe(self, node: Node) -> None:
+        self._write("POLL", node.address)
+
+    def release(self, node: Node) -> None:
+        self._write("RELEASE", node.address)
+
+    def subscribe(self) -> None:
+        self._write("KEEP_INFORMED", "1")
+
+    def fetch(self) -> None:
+        self._write("PULL")
+
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        self._write("BROADCAST_TO", "all" if peer is None else str(peer), base64.b64encode(payload).decode())
+
+    def log(self, text: str) -> None:
+        self._write("JOURNAL_LINE", " ".join(text.split()))
+
+
+@dataclass
+class Instance:
+    writer: InstanceWriter
+    dispatcher: Dispatcher
+    pairs: StartPairs
+    rpcs: dict[str, Rpc] = field(default_factory=dict)
+    nodes: dict[str, Node] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)
+    stirred: bool = False
+    """Something came in for it in the open batch."""
+
+    def __post_init__(self) -> None:
+        self.workloads = self.pairs.workloads()
+        self.plans = self.pairs.plans()
+        self.clear()
+
+    def clear(self) -> None:
+        self.taken: list[Rpc] = []
+        self.answers: list[Send] = []
+        self.begun: list[Send] = []
+        self.left: list[Rpc] = []
+        self.heard: list[Node] = []
+        self.probed: list[tuple[Node, bool, float, dict[str, float]]] = []
+        self.list_answered: bool | None = None
+        self.touched: set[str] = set()
+
+    def forget(self) -> None:
+        """Empty the id table of what can no longer be named."""
+        for xid in self.touched | self.writer.ended:
+            rpc = self.rpcs.get(xid)
+            if rpc is not None and rpc.over and all(send.outcome for send in rpc.sends):
+                del self.rpcs[xid]
+        self.writer.ended.clear()
+
+    def decide(self, now: float) -> None:
+        self.dispatcher.decide(
+            now,
+            self.writer,
+            taken=self.taken,
+            answers=self.answers,
+            begun=self.begun,
+            left=self.left,
+            heard=self.heard,
+            probed=self.probed,
+            list_answered=self.list_answered,
+        )
+        self.forget()
+        self.clear()
+        self.stirred = False
+
+
+class Host:
+    def __init__(self, out: TextIO) -> None:
+        self._out = out
+        self._lines: list[str] = []
+        self._instances: dict[str, Instance] = {}
+        self._lists: dict[str, list[list[str]]] = {}
+        self._now: float | None = None
+        self._list: list[list[str]] = []
+        self._awaited = 0
+        self._events: dict[str, Callable[[list[str]], None]] = {
+            "INCOMING": self._incoming,
+            "COMPLETED": self._completed,
+            "HEADERS": self._headers,
+            "CANCELLED_BY_CLIENT": self._left,
+            "DEADLINE_HIT": lambda parts: None,
+            "ANNOUNCE": self._announce,
+            "SAMPLED": self._sampled,
+            "NOTE_FROM": lambda parts: None,
+        }
+
+    def read(self, line: str) -> None:
+        if not line:
+            return
+        parts = line.split("\t")
+        try:
+            self._take(parts)
+        except (KeyError, IndexError, ValueError) as trouble:
+            told = str(trouble) if isinstance(trouble, MalformedLineError) else type(trouble).__name__
+            raise MalformedLineError(f"malformed line ({told}): {line[:400]}") from trouble
+
+    def _take(self, parts: list[str]) -> None:
+        name = parts[0]
+        if name == "MARK":
+            self._now = ms(parts[1])
+            return
+        if self._now is None:
+            raise ValueError("line outside a batch")
+        if self._awaited:
+            if name != "SERVER":
+                raise ValueError("list cut short")
+            self._list.append(parts[1:] + ["-"] * (8 - len(parts)))
+            self._awaited -= 1
+        elif name == "SHEET":
+            self._list = self._lists[parts[1]] = []
+            self._awaited = int(number(parts[2]))
+        elif name == "YOUR_TURN":
+            self._reply()
+        elif name == "BORN":
+            self._born(parts)
+        elif name == "DETACH":
+            self._instances.pop(parts[1], None)
+        else:
+            event = self._events[name]
+            instance = self._instances.get(parts[1])
+            if instance is not None:
+                instance.stirred = True
+                event(parts + ["-"] * (14 - len(parts)))
+
+    def _reply(self) -> None:
+        assert self._now is not None
+        for who, instance in self._instances.items():
+            if not instance.stirred:
+                continue
+            instance.writer.now = self._now
+            try:
+                instance.decide(self._now)
+            except Exception as trouble:
+                text = " ".join(f"{type(trouble).__name__}: {trouble}".split())
+                self._lines.append(f"BAIL_OUT\t{who}\t{text}")
+        self._lines.append("OK\n")
+        self._out.write("\n".join(self._lines))
+        self._out.flush()
+        self._lines.clear()
+        self._now = None
+
+    def _born(self, parts: list[str]) -> None:
+        who = parts[1]
+        pairs = StartPairs(parts[3:])
+        dispatcher = Dispatcher(
+            seed=int(number(parts[2])),
+            dispatchers=max(1, int(pairs.number("balancers", 1))),
+            workloads=list(pairs.workloads().values()),
+            earnings=pairs.earnings(),
+            cold=pairs.cold_start(),
+            budget=pairs.resend_budget(),
+            permits=pairs.permits(),
+            key_rest_ms=pairs.ms("guarantees.turnGapS"),
+        )
+        writer = InstanceWriter(who, self._lines)
+        self._instances[who] = Instance(writer=writer, dispatcher=dispatcher, pairs=pairs, stirred=True)
+
+    def _incoming(self, parts: list[str]) -> None:
+        who, xid, repeat, workload, give_up, update, owner, policy, hosts, extent, shard, units = parts[1:13]
+        instance = self._instances[who]
+        rpc = instance.rpcs[xid] = Rpc(
+            workload=instance.workloads.get(workload),
+            plan=instance.plans.get(policy),
+            volume=owner,
+            hosts=max(1, int(number(hosts))),
+            key="" if extent == "-" else extent,
+            shard=-1 if shard == "-" else int(shard),
+            units=number(units),
+            give_up_ms=ms(give_up),
+            writes=flag(update),
+            repeat=flag(repeat),
+            id=xid,
+        )
+        instance.taken.append(rpc)
+
+    def _completed(self, parts: list[str]) -> None:
+        (_, who, xid, _, took, usage, others, terminal, number_, code, telemetry) = parts[:11]
+        instance = self._instances[who]
+        rpc = instance.rpcs[xid]
+        send = rpc.sends[int(number(number_))]
+        send.outcome = OUTCOMES[code]
+        send.took_ms = ms(took)
+        send.used = (number(usage) - 1.0) / 100.0 if number(usage) >= 1.0 else None
+        send.elsewhere = number(others)
+        send.load = load_report(telemetry)
+        rpc.over = rpc.over or flag(terminal)
+        instance.answers.append(send)
+        instance.touched.add(xid)
+
+    def _headers(self, parts: list[str]) -> None:
+        instance = self._instances[parts[1]]
+        instance.begun.append(instance.rpcs[parts[2]].sends[int(number(parts[5]))])
+
+    def _left(self, parts: list[str]) -> None:
+        instance = self._instances[parts[1]]
+        rpc = instance.rpcs.get(parts[2])
+        if rpc is not None and not rpc.over:
+            rpc.over = True
+            instance.left.append(rpc)
+            instance.touched.add(rpc.id)
+
+    def _announce(self, parts: list[str]) -> None:
+        instance = self._instances[parts[1]]
+        mode = parts[2]
+        if mode == "X":
+            instance.list_answered = False
+            return
+        if mode not in ("D", "F", "C"):
+            raise ValueError(f"unknown list mode {mode}")
+        if mode != "C":
+            instance.list_answered = True
+        named = set()
+        for address, zone, kind, shard, health, size, born in (entry[:7] for entry in self._lists[parts[3]]):
+            node = instance.nodes.setdefault(address, Node(address))
+            node.zone, node.kind, node.shard = zone, kind, int(number(shard))
+            node.standing, node.size, node.born_ms = STANDINGS[health], number(size), ms(born)
+            instance.heard.append(node)
+            named.add(address)
+        if mode == "D":
+            instance.listed |= named
+            return
+        for address in sorted(instance.listed - named):
+            instance.nodes[address].standing = Standing.GONE
+            instance.heard.append(instance.nodes[address])
+        instance.listed = named
+
+    def _sampled(self, parts: list[str]) -> None:
+        instance = self._instances[parts[1]]
+        node = instance.nodes.get(parts[2])
+        if node is not None:
+            instance.probed.append((node, parts[3] == "200", ms(parts[4]), load_report(parts[5])))
