Give up pressed RPCs that can no longer be in time, at once

Cause: late ones joined batch and a third of the node time went to answers worth a tenth. Hurts on an idle node after a short pause, where late answers would have been free.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -522,7 +522,7 @@
                 del self.lanes[lane.node]
 
     def sweep(self, lane: Lane, now: float, writer: Writer) -> None:
-        """Give up at once what can earn nothing more; what can only earn late joins the batch side."""
+        """Give up at once what can earn no more than little; batch of due units may still earn late."""
         for job in [*lane.pressed, *lane.batch]:
             needs = lane.expected(job.rpc.units)
             late = now + needs > job.soft
@@ -530,14 +530,9 @@
             if late and job.pressed:  # else the controller sees survivors only
                 lane.views.append((now, (now + needs - job.taken) / job.rpc.workload.soft_ms))
             lost = lane.node.standing is not Standing.LIVE or (lane is self.unplaced and job.rpc.shard >= 0)
-            if over or (late and (lost or lane.strikes or job.level <= self.earnings.beyond)):
+            if over or (late and (lost or lane.strikes or job.pressed or job.level <= self.earnings.beyond)):
                 self.give_up(job, now, writer)
             elif lost:
                 job.unqueue()
                 self.place(job, now)
                 self.enqueue(job)
-            elif late and job.pressed:
-                job.unqueue()
-                job.pressed = False
-                job.key = (job.key[0] * job.rpc.workload.late_part, job.key[1], job.key[2])
-                self.enqueue(job)
