--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -116,7 +116,7 @@
         self.batch_out = 0
         self.virtual = 0.0
         self.tags: dict[Volume, float] = {}  # finish tags; dropped once behind virtual time
-        self.unit_ms, self.queue_ms = 0.0, 0.0
+        self.unit_ms = self.answer_ms = self.queue_ms = 0.0  # a unit's work; a unit's answer; waiting there
         self.next_step, self.next_window = now + INTERVAL_MS, now + WINDOW_MS
         self.strikes, self.trial_at = 0, 0.0
         self.last_answer, self.errors, self.warm_from = now, 0.0, -1e12
@@ -217,7 +217,8 @@
         if outcome is Outcome.OK:
             rate = send.took_ms / units
             if not self.unit_ms:
-                self.unit_ms = rate
+                self.unit_ms = self.answer_ms = rate
+            self.answer_ms += 0.05 * (rate - self.answer_ms)
             self.unit_ms *= 1.002 if rate > self.unit_ms else 0.98
             wait = max(0.0, send.took_ms - units * self.unit_ms)
             self.queue_ms += 0.2 * (min(wait, 4.0 * self.queue_ms + 50.0) - self.queue_ms)
@@ -274,8 +275,11 @@
             return 1e12
         while lane.cold and lane.cold[0][0] < now - cold.span_ms:
             lane.cold.popleft()
-        grown = (cold.share + (1.0 - cold.share) * max(0.0, age - cold.span_ms) / cold.warm_ms) / cold.share
-        return cold.units * grown / self.dispatchers - sum(units for _, units in lane.cold)
+        warm = cold.share + (1.0 - cold.share) * max(0.0, age - cold.span_ms) / cold.warm_ms
+        # One unit at a time, as slowly as it answered before, is less than any node can do.
+        known = cold.multiple * cold.share * cold.span_ms / lane.answer_ms if lane.answer_ms else 0.0
+        room = max(cold.units, known) * warm / cold.share / self.dispatchers - sum(u for _, u in lane.cold)
+        return room if lane.cold else max(room, cold.units)
 
     def may_reject(self, rpc: Rpc) -> bool:
         ran = any(send.outcome is None or not send.outcome.never_ran for send in rpc.sends)
