--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -87,6 +87,7 @@
         self.queue: list[Job] | None = None
         self.lane: Lane | None = None
         self.pressed = False
+        self.overtaken = 0.0  # later sends that the node has answered before this one
 
     def __lt__(self, other: Job) -> bool:
         return self.key < other.key
@@ -197,6 +198,16 @@
         oldest = next(iter(self.sends), None)
         return oldest is not None and now - max(oldest.sent_ms, self.last_answer) > patience
 
+    def lost(self, now: float) -> list[Send]:
+        """Guards against lost messages: sends that others overtook and that are long overdue."""
+        found = []
+        for send, job in self.sends.items():
+            due = 2.0 * self.expected(send.rpc.units) + 0.25 * send.rpc.workload.soft_ms
+            if job.overtaken >= 2.0 and now - send.sent_ms > due:
+                job.overtaken = -1e9
+                found.append(send)
+        return found
+
     def trouble(self, now: float, patience: float) -> None:
         """Guards against dead, silent and unreachable nodes: single trials at waits that double."""
         self.strikes += 1
@@ -207,14 +218,20 @@
         if not job.pressed:
             self.batch_out -= 1
         outcome, units = send.outcome, max(send.rpc.units, 1e-6)
-        if outcome in (Outcome.RESET, Outcome.UNCONNECTED, Outcome.TIMED_OUT):
+        if outcome in (Outcome.RESET, Outcome.UNCONNECTED) or (
+            outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms  # else one send was lost
+        ):
             self.trouble(now, patience)
+        elif outcome is Outcome.TIMED_OUT:
+            pass
         elif outcome is not Outcome.CANCELLED and outcome is not Outcome.UNSENT:
             if self.strikes > 1:  # it was down, and may be cold before the list says so
                 self.warm_from = max(self.warm_from, now)
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
+            for other, held in self.sends.items():
+                held.overtaken += other.sent_ms < send.sent_ms
             rate = send.took_ms / units
             if not self.unit_ms:
                 self.unit_ms = self.answer_ms = rate
@@ -459,6 +476,7 @@
                 job.unqueue()
                 self.gate.sent(job, lane, now)
                 lane.sends[writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)] = job
+                job.overtaken = 0.0
                 lane.batch_out += not job.pressed
                 return True
         return False
@@ -519,6 +537,8 @@
             patience = 2.0 * self.tight + lane.expected(self.earnings.mean_units)
             if lane.silent(now, patience) and now >= lane.trial_at:
                 lane.trouble(now, self.tight)
+            for send in lane.lost(now) if self.permits.cancel else ():
+                writer.cancel(send)
             self.sweep(lane, now, writer)
         self.volumes = {name: volume for name, volume in self.volumes.items() if now - volume.seen < 60000.0}
         for lane in list(self.lanes.values()):
