--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -83,14 +83,11 @@
     def __init__(self, rpc: Rpc, volume: Volume, now: float, soft: float) -> None:
         self.rpc, self.volume, self.taken, self.soft = rpc, volume, now, soft
         self.level = 1.0  # part of the value that its units still earn
-        self.key = (0.0, 0.0, 0.0)
+        self.key = (0.0, 0.0)
         self.queue: list[Job] | None = None
         self.lane: Lane | None = None
         self.pressed = False
-        self.overtaken = 0.0  # later sends that the node has answered before this one
-
-    def __lt__(self, other: Job) -> bool:
-        return self.key < other.key
+        self.lost = False
 
     @property
     def out(self) -> bool:
@@ -115,6 +112,7 @@
         self.views: deque[tuple[float, float]] = deque()  # latency over soft deadline; drops the old
         self.sends: dict[Send, Job] = {}  # out at the node; emptied by their outcomes
         self.batch_out = 0
+        self.busy = 0  # sends out that are not taken for lost
         self.virtual = 0.0
         self.tags: dict[Volume, float] = {}  # finish tags; dropped once behind virtual time
         self.unit_ms = self.answer_ms = self.queue_ms = 0.0  # a unit's work; a unit's answer; waiting there
@@ -133,7 +131,7 @@
 
     def sides(self) -> list[list[Job]]:
         """The queues that may fill a slot, the one that share picks first."""
-        free = self.slots() - len(self.sends)
+        free = self.slots() - self.busy
         if free <= 0 or not (self.pressed or self.batch):
             self.filled = self.filled or free <= 0
             return []
@@ -189,49 +187,44 @@
             elif mean < LOW and self.filled:
                 self.window = min(CEILING, self.window + 1.0)
         self.waits, self.filled = [], False
-        self.reserved = min(self.reserved, int(self.window) - 1)
+        if self.reserved >= int(self.window):  # a reserved slot that the window takes comes back as share
+            self.reserved = int(self.window) - 1
+            self.share = min(1.0, self.share + 1.0 / (int(self.window) - self.reserved))
         self.tags = {volume: tag for volume, tag in self.tags.items() if tag > self.virtual}
 
     # Health.
 
-    def silent(self, now: float, patience: float) -> bool:
-        oldest = next(iter(self.sends), None)
-        return oldest is not None and now - max(oldest.sent_ms, self.last_answer) > patience
-
-    def lost(self, now: float) -> list[Send]:
-        """Guards against lost messages: sends that others overtook and that are long overdue."""
-        found = []
+    def watch(self, now: float, patience: float) -> None:
+        """Guards against lost messages and silent nodes: a long overdue send holds no slot any more."""
+        silent = False
         for send, job in self.sends.items():
-            due = 2.0 * self.expected(send.rpc.units) + 0.25 * send.rpc.workload.soft_ms
-            if job.overtaken >= 2.0 and now - send.sent_ms > due:
-                job.overtaken = -1e9
-                found.append(send)
-        return found
+            if not job.lost and now - send.sent_ms > patience + self.expected(send.rpc.units):
+                job.lost = True
+                self.busy -= 1
+                self.batch_out -= not job.pressed
+                silent = silent or self.last_answer < send.sent_ms
+        if silent:
+            self.trouble(now, patience)
 
     def trouble(self, now: float, patience: float) -> None:
         """Guards against dead, silent and unreachable nodes: single trials at waits that double."""
         self.strikes += 1
-        self.trial_at = now + min(patience * 2.0 ** min(self.strikes, 6), 4000.0)
+        self.trial_at = now + min(patience * (2.0 ** min(self.strikes - 1, 6) - 1.0), 4000.0)
 
     def answered(self, send: Send, now: float, patience: float) -> None:
         job = self.sends.pop(send)
-        if not job.pressed:
-            self.batch_out -= 1
+        if not job.lost:
+            self.busy -= 1
+            self.batch_out -= not job.pressed
         outcome, units = send.outcome, max(send.rpc.units, 1e-6)
-        if outcome in (Outcome.RESET, Outcome.UNCONNECTED) or (
-            outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms  # else one send was lost
-        ):
+        if outcome in (Outcome.RESET, Outcome.UNCONNECTED):
             self.trouble(now, patience)
-        elif outcome is Outcome.TIMED_OUT:
-            pass
-        elif outcome is not Outcome.CANCELLED and outcome is not Outcome.UNSENT:
+        elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT, Outcome.TIMED_OUT):
             if self.strikes > 1:  # it was down, and may be cold before the list says so
                 self.warm_from = max(self.warm_from, now)
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
-            for other, held in self.sends.items():
-                held.overtaken += other.sent_ms < send.sent_ms
             rate = send.took_ms / units
             if not self.unit_ms:
                 self.unit_ms = self.answer_ms = rate
@@ -352,7 +345,7 @@
         self.jobs: dict[Rpc, Job] = {}
         self.lanes: dict[Node, Lane] = {}  # a machine each; dropped once gone with nothing left in it
         self.unplaced = Lane(Node(""), 0.0)  # new objects that no node has credit for
-        self.next_beat = self.next_sweep = 0.0
+        self.next_beat = 0.0
         self.ask_at = 0.0 if permits.must_ask else 1e15
         self.ask_wait = 1000.0
 
@@ -374,15 +367,9 @@
         for lane in self.lanes.values():
             self.fill(lane, now, writer)
 
-    def chance(self) -> int:
-        self.count += 1
-        return crc32(f"{self.seed}:{self.count}".encode())
-
     def list(self, now: float, heard: Sequence[Node], answered: bool | None) -> None:
         for node in heard:
-            lane = self.lanes.get(node)
-            if lane is None:
-                self.lanes[node] = Lane(node, now)
+            self.lanes.setdefault(node, Lane(node, now))
         if answered is not None and self.permits.must_ask:
             self.ask_at = 1e15 if answered else now + self.ask_wait
             self.ask_wait = 1000.0 if answered else min(self.ask_wait * 2.0, self.permits.ask_within_ms)
@@ -416,12 +403,13 @@
             job.lane = [*live, *lanes, self.unplaced][0]
             return
         best, job.lane = 0.0, self.unplaced
-        turn = self.chance() % max(1, len(self.lanes))
         lanes = list(self.lanes.values())
+        self.count += 1
+        turn = crc32(f"{self.seed}:{self.count}".encode()) % max(1, len(lanes))
         for lane in lanes[turn:] + lanes[:turn]:
             if lane.node.standing is not Standing.LIVE or lane.strikes or lane.errors > 0.3:
                 continue
-            credit = lane.slots() - len(lane.sends) - len(lane.pressed)
+            credit = lane.slots() - lane.busy - len(lane.pressed)
             if credit > best and self.gate.cold_room(lane, now) >= job.rpc.units:
                 best, job.lane = credit, lane
 
@@ -440,13 +428,12 @@
         high = workload.value * 2.0 > self.top and workload.soft_ms <= 2.0 * self.tight
         job.pressed = high and job.level > self.earnings.beyond
         value = workload.value * plan.price * job.level
-        self.count += 1
-        job.key = (-value, tag, float(self.count))
+        job.key = (-value, tag)  # equals keep the order they came in
         self.enqueue(job)
 
     def enqueue(self, job: Job) -> None:
         job.queue = job.lane.pressed if job.pressed else job.lane.batch
-        insort(job.queue, job)
+        insort(job.queue, job, key=lambda held: held.key)
 
     # Sending.
 
@@ -458,7 +445,7 @@
 
     def fill_one(self, lane: Lane, now: float, writer: Writer) -> bool:
         spare = self.unplaced
-        if not lane.strikes and lane.errors <= 0.3 and len(lane.sends) < lane.slots():
+        if not lane.strikes and lane.errors <= 0.3 and lane.busy < lane.slots():
             for side, own in ((spare.pressed, lane.pressed), (spare.batch, lane.batch)):
                 job = side[0] if side else None
                 if job and job.rpc.shard < 0 and (not own or job.taken < own[0].taken):
@@ -476,8 +463,9 @@
                 job.unqueue()
                 self.gate.sent(job, lane, now)
                 lane.sends[writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)] = job
-                job.overtaken = 0.0
                 lane.batch_out += not job.pressed
+                lane.busy += 1
+                job.lost = False
                 return True
         return False
 
@@ -534,11 +522,7 @@
                 lane.step(now)
             if now >= lane.next_window:
                 lane.resize(now)
-            patience = 2.0 * self.tight + lane.expected(self.earnings.mean_units)
-            if lane.silent(now, patience) and now >= lane.trial_at:
-                lane.trouble(now, self.tight)
-            for send in lane.lost(now) if self.permits.cancel else ():
-                writer.cancel(send)
+            lane.watch(now, 1.5 * self.tight)
             self.sweep(lane, now, writer)
         self.volumes = {name: volume for name, volume in self.volumes.items() if now - volume.seen < 60000.0}
         for lane in list(self.lanes.values()):
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,112 @@
+"""A story for each failure met."""
+
+from __future__ import annotations
+
+import pytest
+from fakehost import EXPORT, READ, FakeHost
+
+from cherrygrade.interface import ColdStart, Earnings, Outcome, Plan
+
+
+def answer_all(host):
+    for send in [send for send in host.sent if send.outcome is None]:
+        host.answer(send)
+
+
+def test_a_lost_send_gives_its_slot_back_before_the_client_gives_up():
+    host = FakeHost()
+    host.take(host.rpc(), host.rpc())
+    assert len(host.sent) == 2
+    host.pass_time(400.0)
+    host.take(host.rpc())
+    assert len(host.sent) == 3
+
+
+def test_a_silent_node_gets_single_trials_and_new_objects_go_elsewhere():
+    host = FakeHost(nodes=2)
+    for _ in range(200):
+        host.take(host.rpc(), host.rpc(shard=-1))
+        for send in [send for send in host.sent if send.outcome is None and send.node is host.nodes[1]]:
+            host.answer(send)
+        host.pass_time(20.0)
+    silent = [send for send in host.sent if send.node is host.nodes[0]]
+    assert 3 <= len(silent) <= 12
+    assert sum(1 for send in host.sent if send.rpc.shard == -1) > 190
+
+
+def test_a_node_back_from_the_dead_is_taken_for_cold_before_the_list_says_so():
+    cold = ColdStart(units=4.0, share=0.25, multiple=2.0, span_ms=1000.0, warm_ms=10000.0)
+    host = FakeHost(dispatchers=4, cold=cold)
+    for _ in range(40):
+        host.take(host.rpc(EXPORT))
+        for send in [send for send in host.sent if send.outcome is None]:
+            host.answer(send, Outcome.UNCONNECTED)
+        host.pass_time(100.0)
+    before = len(host.sent)
+    for _ in range(500):
+        host.take(host.rpc())
+        answer_all(host)
+        host.pass_time(10.0)
+    assert 1 <= len(host.sent) - before <= 30
+
+
+def test_a_cold_node_with_hardly_any_allowance_still_gets_one_rpc_a_span():
+    cold = ColdStart(units=4.0, share=0.2, multiple=2.0, span_ms=1000.0, warm_ms=17000.0)
+    host = FakeHost(dispatchers=8, cold=cold)
+    host.nodes[0].born_ms = host.now
+    for _ in range(50):
+        host.take(host.rpc(units=2.0))
+        answer_all(host)
+        host.pass_time(50.0)
+    assert 2 <= len(host.sent) <= 4
+
+
+def test_a_pressed_rpc_that_cannot_be_in_time_any_more_is_rejected_at_once():
+    host = FakeHost()
+    host.take(*[host.rpc() for _ in range(10)])
+    host.pass_time(READ.soft_ms + 30.0)
+    assert len(host.rejected) == 8
+
+
+@pytest.mark.parametrize("told", [{"used": 3.0}, {"elsewhere": 900.0}])
+def test_what_a_volume_got_elsewhere_lessens_its_part_here(told):
+    earnings = Earnings(in_share=0.5, beyond=0.1, tells_elsewhere="elsewhere" in told)
+    host = FakeHost(earnings=earnings)
+    host.take(host.rpc(hosts=2, plan=Plan("plan", usual_rate=100.0)))
+    volume = host.dispatcher.volumes["v"]
+    assert volume.part == 0.5
+    host.answer(host.sent[0], **told)
+    assert volume.part < 0.3
+
+
+def test_what_is_beyond_a_volumes_due_waits_behind_another_volumes_dues():
+    host = FakeHost()
+    plan = Plan("plan", usual_rate=4.0)
+    host.take(*[host.rpc(plan=plan, volume="loud") for _ in range(20)])
+    quiet = host.rpc(plan=plan, volume="quiet")
+    host.take(quiet)
+    host.answer(host.sent[0])
+    host.answer(host.sent[1])
+    assert quiet in [send.rpc for send in host.sent]
+
+
+def test_the_window_does_not_grow_unused_and_shrinks_when_answers_wait_at_the_node():
+    host = FakeHost()
+    lane = host.dispatcher.lanes[host.nodes[0]]
+    for took in [10.0] * 40 + [190.0] * 40:
+        host.take(host.rpc())
+        host.pass_time(took)
+        answer_all(host)
+        host.pass_time(40.0)
+        assert lane.window <= 2.0
+    assert lane.window == 1.0
+
+
+def test_share_moves_to_the_pressed_side_while_it_misses_and_batch_waits():
+    host = FakeHost()
+    lane = host.dispatcher.lanes[host.nodes[0]]
+    for _ in range(60):
+        host.take(*[host.rpc() for _ in range(4)], host.rpc(EXPORT))
+        host.pass_time(50.0)
+        answer_all(host)
+    assert lane.share > 0.9 or lane.reserved == 1
