Count a given-up pressed RPC at its client's whole time in the controller's p99

Cause: given up at the moment it was to miss, it counted just over 1.0, and the linear target hardly moved share.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -535,8 +535,8 @@
             needs = lane.expected(job.rpc.units)
             late = now + needs > job.soft
             over = now + max(needs, 2.0 * BEAT_MS) > job.rpc.give_up_ms
-            if late and job.pressed:  # else the controller sees survivors only
-                lane.views.append((now, (now + needs - job.taken) / job.rpc.workload.soft_ms))
+            if late and job.pressed:  # its client waits in vain; else the controller sees survivors only
+                lane.views.append((now, (job.rpc.give_up_ms - job.taken) / job.rpc.workload.soft_ms))
             lost = lane.node.standing is not Standing.LIVE or (lane is self.unplaced and job.rpc.shard >= 0)
             if over or (late and (lost or lane.strikes or job.pressed or job.level <= self.earnings.beyond)):
                 self.give_up(job, now, writer)
