--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -424,7 +424,7 @@
             tag = max(lane.virtual, lane.tags.get(volume, 0.0))
             lane.tags[volume] = tag + rpc.units / max(plan.weight * volume.part, 1e-6)
             ahead = (tag - lane.virtual) * plan.weight / max(plan.usual_rate, 1e-6)
-            job.level = self.earnings.in_share if ahead <= 0.35 else self.earnings.beyond
+            job.level = self.earnings.in_share if ahead <= 0.1 else self.earnings.beyond
         high = workload.value * 2.0 > self.top and workload.soft_ms <= 2.0 * self.tight
         job.pressed = high and job.level > self.earnings.beyond
         value = workload.value * plan.price * job.level
