--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -45,7 +45,9 @@
 
     @property
     def part(self) -> float:
-        """This dispatcher's part of the volume's use: an even part where nothing is told."""
+        """What of the due is ours: all, less what nodes tell of others, or by the meter, or an even part."""
+        if self.earnings.tells_elsewhere:
+            return 1.0
         if not self.others:
             return 1.0 / self.hosts
         prior = self.plan.usual_rate * USE_MS / 4000.0 + 1e-9
@@ -68,11 +70,11 @@
         return True
 
     def told(self, send: Send) -> None:
+        """Others' use: what the node did for them counts as if sent from here."""
         if send.outcome is Outcome.OK:
             self.done += send.rpc.units
-        if self.earnings.tells_elsewhere:
-            self.others += send.elsewhere
-        elif send.used is not None:
+        self.pot -= send.elsewhere
+        if send.used is not None:
             total = send.used * self.plan.usual_rate * USE_MS / 1000.0
             self.others = max(0.0, total - self.done)
 
@@ -121,8 +123,6 @@
         self.last_answer, self.errors, self.warm_from = now, 0.0, -1e12
         self.cold: deque[tuple[float, float]] = deque()  # units sent while cold; drops what left the span
 
-    # The share-picked queues of the design.
-
     def slots(self) -> int:
         return 1 if self.strikes else int(self.window)
 
@@ -144,6 +144,12 @@
             sides.remove(self.batch)
         return [side for side in sides if side]
 
+    def tag(self, volume: Volume, units: float) -> float:
+        """Charge units to the volume's share of this node, and tell where it stood."""
+        tag = max(self.virtual, self.tags.get(volume, 0.0))
+        self.tags[volume] = tag + units / max(volume.plan.weight * volume.part, 1e-6)
+        return tag
+
     def charge(self, job: Job) -> None:
         units = job.rpc.units
         if job.queue is self.pressed:
@@ -192,8 +198,6 @@
             self.share = min(1.0, self.share + 1.0 / (int(self.window) - self.reserved))
         self.tags = {volume: tag for volume, tag in self.tags.items() if tag > self.virtual}
 
-    # Health.
-
     def watch(self, now: float, patience: float) -> None:
         """Guards against lost messages and silent nodes: a long overdue send holds no slot any more."""
         silent = False
@@ -219,7 +223,7 @@
         outcome, units = send.outcome, max(send.rpc.units, 1e-6)
         if outcome in (Outcome.RESET, Outcome.UNCONNECTED):
             self.trouble(now, patience)
-        elif outcome not in (Outcome.CANCELLED, Outcome.UNSENT, Outcome.TIMED_OUT):
+        if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
             if self.strikes > 1:  # it was down, and may be cold before the list says so
                 self.warm_from = max(self.warm_from, now)
             self.strikes, self.last_answer = 0, now
@@ -335,8 +339,7 @@
 class Dispatcher:
     def __init__(self, *, seed: int, dispatchers: int, workloads: Sequence[Workload], earnings: Earnings,
                  cold: ColdStart, budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
-        self.seed, self.count = seed, 0
-        self.earnings, self.permits = earnings, permits
+        self.seed, self.count, self.earnings, self.permits = seed, 0, earnings, permits
         self.gate = Gate(dispatchers, cold, budget, permits, key_rest_ms)
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
@@ -374,15 +377,11 @@
             self.ask_at = 1e15 if answered else now + self.ask_wait
             self.ask_wait = 1000.0 if answered else min(self.ask_wait * 2.0, self.permits.ask_within_ms)
 
-    # Taking and queueing.
-
     def take(self, rpc: Rpc, now: float, writer: Writer) -> None:
         if rpc.workload is None or rpc.plan is None:
             writer.reject(rpc, 0.0)
             return
-        volume = self.volumes.get(rpc.volume)
-        if volume is None:
-            volume = self.volumes[rpc.volume] = Volume(rpc.plan, rpc.hosts, now, self.earnings)
+        volume = self.volumes.setdefault(rpc.volume, Volume(rpc.plan, rpc.hosts, now, self.earnings))
         volume.pass_time(now)
         volume.own += rpc.units
         left = rpc.give_up_ms - now
@@ -421,22 +420,18 @@
         if volume.reserve(rpc.units, workload.value / self.top):
             job.level = 1.0
         else:
-            tag = max(lane.virtual, lane.tags.get(volume, 0.0))
-            lane.tags[volume] = tag + rpc.units / max(plan.weight * volume.part, 1e-6)
+            tag = lane.tag(volume, rpc.units)
             ahead = (tag - lane.virtual) * plan.weight / max(plan.usual_rate, 1e-6)
             job.level = self.earnings.in_share if ahead <= 0.1 else self.earnings.beyond
         high = workload.value * 2.0 > self.top and workload.soft_ms <= 2.0 * self.tight
         job.pressed = high and job.level > self.earnings.beyond
-        value = workload.value * plan.price * job.level
-        job.key = (-value, tag)  # equals keep the order they came in
+        job.key = (-workload.value * plan.price * job.level, tag)  # equals keep the order they came in
         self.enqueue(job)
 
     def enqueue(self, job: Job) -> None:
         job.queue = job.lane.pressed if job.pressed else job.lane.batch
         insort(job.queue, job, key=lambda held: held.key)
 
-    # Sending.
-
     def fill(self, lane: Lane, now: float, writer: Writer) -> None:
         if lane.node.standing is not Standing.LIVE or (lane.strikes and now < lane.trial_at):
             return
@@ -469,8 +464,6 @@
                 return True
         return False
 
-    # Answers.
-
     def settle(self, send: Send, now: float, writer: Writer) -> None:
         lane = self.lanes[send.node]
         job = lane.sends[send]
@@ -478,6 +471,7 @@
         self.gate.outcome(send, now)
         job.volume.pass_time(now)
         job.volume.told(send)
+        lane.tag(job.volume, send.elsewhere)
         rpc = send.rpc
         if rpc.over:
             self.finish(job)
@@ -508,8 +502,6 @@
             self.gate.leave(job)
             self.jobs.pop(job.rpc, None)
 
-    # Time.
-
     def beat(self, now: float, writer: Writer) -> None:
         self.next_beat = now + BEAT_MS
         writer.wake(BEAT_MS)
