--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -29,7 +29,7 @@
 VIEW_MS = 2000.0  # answers that the controller's p99 is taken over
 INTERVAL_MS = 200.0  # controller steps
 WINDOW_MS = 1000.0  # window steps
-FLOOR, START, CEILING = 0.3, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
+FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
 
@@ -108,7 +108,7 @@
         self.node = node
         self.pressed: list[Job] = []
         self.batch: list[Job] = []
-        self.share, self.reserved, self.lead = 0.5, 0, 0.0
+        self.share, self.reserved, self.lead, self.crowded = 0.5, 0, 0.0, False
         self.window, self.filled, self.contended = START, False, False
         self.waits: list[float] = []  # waiting at the node over soft deadline; emptied each window step
         self.views: deque[tuple[float, float]] = deque()  # latency over soft deadline; drops the old
@@ -124,7 +124,7 @@
         self.cold: deque[tuple[float, float]] = deque()  # units sent while cold; drops what left the span
 
     def slots(self) -> int:
-        return 1 if self.strikes else max(1, int(self.window))
+        return 1 if self.strikes else int(self.window)
 
     def expected(self, units: float) -> float:
         return self.queue_ms + units * self.unit_ms
@@ -140,9 +140,8 @@
         else:
             self.contended = True
         sides = [self.pressed, self.batch] if self.lead <= 0.0 else [self.batch, self.pressed]
-        if self.window < 1.0 or self.batch_out >= self.slots() - min(self.reserved, self.slots() - 1):
+        if self.crowded or self.batch_out >= self.slots() - min(self.reserved, self.slots() - 1):
             sides.remove(self.batch)
-            self.filled = self.filled or bool(self.batch)
         return [side for side in sides if side]
 
     def tag(self, volume: Volume, units: float) -> float:
@@ -187,18 +186,18 @@
     def resize(self, now: float) -> None:
         """The AIMD window. It grows only when it was filled, so it cannot drift up unused."""
         self.next_window = now + WINDOW_MS
-        if not self.waits:
-            self.window = max(1.0, self.window)
-        else:
+        self.crowded = False
+        if self.waits:
             mean = sum(self.waits) / len(self.waits)
+            self.crowded = self.window < 2.0 and mean > 0.4
             if mean > HIGH:
                 self.window = max(FLOOR, self.window * 0.75)
             elif mean < LOW and self.filled:
                 self.window = min(CEILING, self.window + 1.0)
         self.waits, self.filled = [], False
-        if self.reserved >= self.slots():  # a reserved slot that the window takes comes back as share
-            self.reserved = self.slots() - 1
-            self.share = 1.0
+        if self.reserved >= int(self.window):  # a reserved slot that the window takes comes back as share
+            self.reserved = int(self.window) - 1
+            self.share = min(1.0, self.share + 1.0 / (int(self.window) - self.reserved))
         self.tags = {volume: tag for volume, tag in self.tags.items() if tag > self.virtual}
 
     def watch(self, now: float, patience: float) -> None:
