--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -104,11 +104,11 @@
 class Lane:
     """One node as this dispatcher uses it: two queues, share, reserved slots, window and health."""
 
-    def __init__(self, node: Node, now: float) -> None:
-        self.node = node
+    def __init__(self, node: Node, now: float, tight: float) -> None:
+        self.node, self.tight = node, tight
         self.pressed: list[Job] = []
         self.batch: list[Job] = []
-        self.share, self.reserved, self.lead, self.crowded = 0.5, 0, 0.0, False
+        self.share, self.reserved, self.lead = 0.5, 0, 0.0
         self.window, self.filled, self.contended = START, False, False
         self.waits: list[float] = []  # waiting at the node over soft deadline; emptied each window step
         self.views: deque[tuple[float, float]] = deque()  # latency over soft deadline; drops the old
@@ -140,7 +140,9 @@
         else:
             self.contended = True
         sides = [self.pressed, self.batch] if self.lead <= 0.0 else [self.batch, self.pressed]
-        if self.crowded or self.batch_out >= self.slots() - min(self.reserved, self.slots() - 1):
+        # Other hosts' pressed RPCs are seen only as waiting at the node: batch yields to them too.
+        crowded = self.window < 2.0 and self.queue_ms > 0.25 * self.tight
+        if crowded or self.batch_out >= self.slots() - min(self.reserved, self.slots() - 1):
             sides.remove(self.batch)
         return [side for side in sides if side]
 
@@ -160,6 +162,7 @@
     def step(self, now: float) -> None:
         """The controller: share by the linear target, capped; then reserved slots (Algorithm 1)."""
         self.next_step = now + INTERVAL_MS
+        self.queue_ms *= 1.0 if self.sends else 0.8  # idle: nothing tells of the waiting any more
         while self.views and self.views[0][0] < now - VIEW_MS:
             self.views.popleft()
         seen = sorted(view for _, view in self.views)
@@ -186,10 +189,8 @@
     def resize(self, now: float) -> None:
         """The AIMD window. It grows only when it was filled, so it cannot drift up unused."""
         self.next_window = now + WINDOW_MS
-        self.crowded = False
         if self.waits:
             mean = sum(self.waits) / len(self.waits)
-            self.crowded = self.window < 2.0 and mean > 0.4
             if mean > HIGH:
                 self.window = max(FLOOR, self.window * 0.75)
             elif mean < LOW and self.filled:
@@ -236,14 +237,12 @@
                 self.unit_ms = self.answer_ms = rate
             self.answer_ms += 0.05 * (rate - self.answer_ms)
             self.unit_ms *= 1.002 if rate > self.unit_ms else 0.98
+        if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait = max(0.0, send.took_ms - units * self.unit_ms)
             self.queue_ms += 0.2 * (min(wait, 4.0 * self.queue_ms + 50.0) - self.queue_ms)
-        if outcome in (Outcome.OK, Outcome.TIMED_OUT):
-            soft = send.rpc.workload.soft_ms
-            wait = max(0.0, send.took_ms - units * self.unit_ms)
-            self.waits.append(min(1.0, wait / soft))
+            self.waits.append(min(1.0, wait / send.rpc.workload.soft_ms))
             if job.pressed:
-                self.views.append((now, (now - job.taken) / soft))
+                self.views.append((now, (now - job.taken) / send.rpc.workload.soft_ms))
 
 
 class Gate:
@@ -349,7 +348,7 @@
         self.volumes: dict[str, Volume] = {}
         self.jobs: dict[Rpc, Job] = {}
         self.lanes: dict[Node, Lane] = {}  # a machine each; dropped once gone with nothing left in it
-        self.unplaced = Lane(Node(""), 0.0)  # new objects that no node has credit for
+        self.unplaced = Lane(Node(""), 0.0, self.tight)  # new objects that no node has credit for
         self.next_beat = 0.0
         self.ask_at = 0.0 if permits.must_ask else 1e15
         self.ask_wait = 1000.0
@@ -374,7 +373,7 @@
 
     def list(self, now: float, heard: Sequence[Node], answered: bool | None) -> None:
         for node in heard:
-            self.lanes.setdefault(node, Lane(node, now))
+            self.lanes.setdefault(node, Lane(node, now, self.tight))
         if answered is not None and self.permits.must_ask:
             self.ask_at = 1e15 if answered else now + self.ask_wait
             self.ask_wait = 1000.0 if answered else min(self.ask_wait * 2.0, self.permits.ask_within_ms)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -116,3 +116,17 @@
         host.pass_time(50.0)
         answer_all(host)
     assert lane.share > 0.9 or lane.reserved == 1
+
+
+def test_batch_waits_while_other_hosts_crowd_the_node():
+    host = FakeHost()
+    lane = host.dispatcher.lanes[host.nodes[0]]
+    for took in [10.0] * 10 + [180.0] * 30:
+        host.take(host.rpc())
+        host.pass_time(took)
+        answer_all(host)
+    export = host.rpc(EXPORT)
+    host.take(export)
+    assert lane.window == 1.0 and not export.sends
+    host.pass_time(1500.0)
+    assert export.sends
