--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -224,7 +224,7 @@
             self.busy -= 1
             self.batch_out -= not job.pressed
         outcome, units = send.outcome, max(send.rpc.units, 1e-6)
-        if outcome in (Outcome.RESET, Outcome.UNCONNECTED):
+        if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
         if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
             if self.strikes > 1:  # it was down, and may be cold before the list says so
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -130,3 +130,14 @@
     assert lane.window == 1.0 and not export.sends
     host.pass_time(1500.0)
     assert export.sends
+
+
+def test_resets_alone_do_not_shut_a_node():
+    cold = ColdStart(units=4.0, share=0.2, multiple=2.0, span_ms=1000.0, warm_ms=17000.0)
+    host = FakeHost(dispatchers=8, cold=cold)
+    for i in range(100):
+        host.take(host.rpc())
+        host.pass_time(10.0)
+        for send in [send for send in host.sent if send.outcome is None]:
+            host.answer(send, Outcome.RESET if i % 10 < 2 else Outcome.OK)
+    assert sum(1 for send in host.sent if send.outcome is Outcome.OK) >= 80
