--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -30,7 +30,7 @@
 INTERVAL_MS = 200.0  # controller steps
 WINDOW_MS = 1000.0  # window steps
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
-RUN = 5  # sends on one key that may go beyond the window
+RUN = 1  # sends on one key that may go beyond the window
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
 
