--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -152,7 +152,7 @@
     def riders(self) -> list[Job]:
         """RPCs on the key sent last cost the node much less right behind it: a few go beyond the window."""
         last = self.last
-        if last is None or last.outcome or not last.rpc.key or self.ridden >= RUN or self.strikes:
+        if last is None or last.outcome or not last.rpc.key or self.strikes or (self.busy >= self.slots() and self.ridden >= RUN):
             return []
         return [job for job in [*self.pressed, *self.batch] if job.rpc.key == last.rpc.key]
 
