One RPC on the key sent last rides beyond the window; the late meter goes

Cause: runs on one key cost half when sent together, and small windows tore them apart. Riders hurt where the first of a run is very heavy.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -17,7 +17,6 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Sequence
-from math import exp
 from zlib import crc32
 
 from cherrygrade.interface import ColdStart, Earnings, Effect, Node, Outcome, Permits  # isort: split
@@ -25,12 +24,10 @@
 from cherrygrade.interface import Plan, ResendBudget, Rpc, Send, Standing, Workload, Writer
 
 BEAT_MS = 10.0  # how often waiting RPCs and the controllers are looked at
-USE_MS = 2000.0  # memory of a volume's use: the leading dispatcher shifts within seconds
 VIEW_MS = 2000.0  # answers that the controller's p99 is taken over
 INTERVAL_MS = 200.0  # controller steps
 WINDOW_MS = 1000.0  # window steps
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
-RUN = 1  # sends on one key that may go beyond the window
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
 
@@ -38,27 +35,14 @@
     """What is due to a volume through this dispatcher. Dropped once it has been idle (Dispatcher.beat)."""
 
     def __init__(self, plan: Plan, hosts: int, now: float, earnings: Earnings) -> None:
-        self.plan, self.hosts, self.earnings = plan, hosts, earnings
-        self.own = self.done = self.others = 0.0  # units: taken, ok here, ok elsewhere, with decay
-        self.seen = now
-        self.pot = self.depth = plan.reserve_rate / hosts + earnings.largest_units
+        self.plan, self.hosts, self.seen = plan, hosts, now
+        # Ours is all of the due, less what nodes tell of others' use; where they don't, an even part.
+        self.part = 1.0 if earnings.tells_elsewhere else 1.0 / hosts
+        self.pot = self.depth = plan.reserve_rate * self.part + earnings.largest_units
         self.store = 0.0  # of the plan's limit; empty at the start, as a dispatcher before this one had it
 
-    @property
-    def part(self) -> float:
-        """What of the due is ours: all, less what nodes tell of others, or by the meter, or an even part."""
-        if self.earnings.tells_elsewhere:
-            return 1.0
-        if not self.others:
-            return 1.0 / self.hosts
-        prior = self.plan.usual_rate * USE_MS / 4000.0 + 1e-9
-        return (self.own + prior / self.hosts) / (self.own + self.others + prior)
-
     def pass_time(self, now: float) -> None:
         gap, self.seen = now - self.seen, now
-        fade = exp(-gap / USE_MS)
-        self.own, self.done, self.others = self.own * fade, self.done * fade, self.others * fade
-        self.depth = self.plan.reserve_rate * self.part + self.earnings.largest_units
         self.pot = min(self.depth, self.pot + self.plan.reserve_rate * self.part * gap / 1000.0)
         limit = self.plan.limit_rate / self.hosts * gap / 1000.0
         self.store = min(self.plan.limit_depth / self.hosts, self.store + limit)
@@ -70,15 +54,6 @@
         self.pot -= units
         return True
 
-    def told(self, send: Send) -> None:
-        """Others' use: what the node did for them counts as if sent from here."""
-        if send.outcome is Outcome.OK:
-            self.done += send.rpc.units
-        self.pot -= send.elsewhere
-        if send.used is not None:
-            total = send.used * self.plan.usual_rate * USE_MS / 1000.0
-            self.others = max(0.0, total - self.done)
-
 
 class Job:
     """An RPC held here, from being taken until it is over and no send of it is out."""
@@ -115,8 +90,8 @@
         self.views: deque[tuple[float, float]] = deque()  # latency over soft deadline; drops the old
         self.sends: dict[Send, Job] = {}  # out at the node; emptied by their outcomes
         self.batch_out = 0
-        self.last: Send | None = None  # the newest send, and how many rode on it beyond the window
-        self.ridden = 0
+        self.last: Send | None = None  # the newest send, and whether it went beyond the window
+        self.rode = False
         self.busy = 0  # sends out that are not taken for lost
         self.virtual = 0.0
         self.tags: dict[Volume, float] = {}  # finish tags; dropped once behind virtual time
@@ -150,9 +125,9 @@
         return [side for side in sides if side]
 
     def riders(self) -> list[Job]:
-        """RPCs on the key sent last cost the node much less right behind it: a few go beyond the window."""
+        """An RPC on the key sent last costs a node much less right behind it: one goes beyond the window."""
         last = self.last
-        if last is None or last.outcome or not last.rpc.key or self.strikes or (self.busy >= self.slots() and self.ridden >= RUN):
+        if last is None or last.outcome or not last.rpc.key or self.rode or self.strikes:
             return []
         return [job for job in [*self.pressed, *self.batch] if job.rpc.key == last.rpc.key]
 
@@ -394,7 +369,6 @@
             return
         volume = self.volumes.setdefault(rpc.volume, Volume(rpc.plan, rpc.hosts, now, self.earnings))
         volume.pass_time(now)
-        volume.own += rpc.units
         left = rpc.give_up_ms - now
         longest = self.tries[rpc.workload] = max(self.tries.get(rpc.workload, 0.0), left)
         job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - (longest - left))
@@ -470,7 +444,7 @@
                 self.gate.sent(job, lane, now)
                 lane.last = writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)
                 lane.sends[lane.last] = job
-                lane.ridden = lane.ridden + 1 if lane.busy >= lane.slots() else 0
+                lane.rode = lane.busy >= lane.slots()
                 lane.batch_out += not job.pressed
                 lane.busy += 1
                 job.lost = False
@@ -483,7 +457,7 @@
         lane.answered(send, now, self.tight)
         self.gate.outcome(send, now)
         job.volume.pass_time(now)
-        job.volume.told(send)
+        job.volume.pot -= send.elsewhere
         lane.tag(job.volume, send.elsewhere)
         rpc = send.rpc
         if rpc.over:
