An RPC already late when taken joins batch at its late value

Cause: a client's retry that cannot be in time any more took a free slot before it was looked at, in front of RPCs of other hosts.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -409,8 +409,10 @@
             ahead = (tag - lane.virtual) * plan.weight / max(plan.usual_rate, 1e-6)
             job.level = self.earnings.in_share if ahead <= 0.1 else self.earnings.beyond
         high = workload.value * 2.0 > self.top and workload.soft_ms <= 2.0 * self.tight
-        job.pressed = high and job.level > self.earnings.beyond
-        job.key = (-workload.value * plan.price * job.level, tag)  # equals keep the order they came in
+        in_time = now + lane.expected(rpc.units) <= job.soft
+        job.pressed = high and in_time and job.level > self.earnings.beyond
+        value = workload.value * (1.0 if in_time else workload.late_part) * plan.price * job.level
+        job.key = (-value, tag)  # equals keep the order they came in
         self.enqueue(job)
 
     def enqueue(self, job: Job) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -139,3 +139,12 @@
         for send in [send for send in host.sent if send.outcome is None]:
             host.answer(send, Outcome.RESET if i % 10 < 2 else Outcome.OK)
     assert sum(1 for send in host.sent if send.outcome is Outcome.OK) >= 80
+
+
+def test_a_clients_retry_that_comes_too_late_stands_behind_those_in_time():
+    host = FakeHost()
+    host.take(host.rpc(), host.rpc())
+    late, fresh = host.rpc(gives_up=1500.0), host.rpc()
+    host.take(late, fresh)
+    host.answer(host.sent[0])
+    assert host.sent[-1].rpc is fresh and not late.sends
