No share is owed for units that were sent while the other side was empty

Cause: the count of what share owes was reset only when a slot was free, so batch that came later was owed units sent before.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -113,10 +113,7 @@
         if free <= 0 or not (self.pressed or self.batch):
             self.filled = self.filled or free <= 0
             return []
-        if not self.pressed or not self.batch:
-            self.lead = 0.0
-        else:
-            self.contended = True
+        self.contended = self.contended or bool(self.pressed and self.batch)
         sides = [self.pressed, self.batch] if self.lead <= 0.0 else [self.batch, self.pressed]
         # Other hosts' pressed RPCs are seen only as waiting at the node: batch yields to them too.
         crowded = self.window < 2.0 and self.queue_ms > 0.25 * self.tight
@@ -139,7 +136,9 @@
 
     def charge(self, job: Job) -> None:
         units = job.rpc.units
-        if job.queue is self.pressed:
+        if not (self.pressed and self.batch):  # what nobody else waited for is owed to nobody
+            self.lead = 0.0
+        elif job.queue is self.pressed:
             self.lead += units / max(self.share, 0.01)
         else:
             self.lead -= units / max(1.0 - self.share, 0.01)
