Lend reserved slots to batch while nothing pressed waits or is out

The design's slow node leaves batch one slot beside idle reserved ones. A pressed RPC that comes waits for one batch answer.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -117,7 +117,9 @@
         sides = [self.pressed, self.batch] if self.lead <= 0.0 else [self.batch, self.pressed]
         # Other hosts' pressed RPCs are seen only as waiting at the node: batch yields to them too.
         crowded = self.window < 2.0 and self.queue_ms > 0.25 * self.tight
-        if crowded or self.batch_out >= self.slots() - min(self.reserved, self.slots() - 1):
+        # A slow node keeps slots reserved for good: they are lent while no pressed RPC waits or is out.
+        kept = min(self.reserved, self.slots() - 1) if self.pressed or self.batch_out < self.busy else 0
+        if crowded or self.batch_out >= self.slots() - kept:
             sides.remove(self.batch)
         return [side for side in sides if side]
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -147,3 +147,15 @@
     host.take(late, fresh)
     host.answer(host.sent[0])
     assert host.sent[-1].rpc is fresh and not late.sends
+
+
+def test_reserved_slots_are_lent_while_nothing_pressed_waits_or_is_out():
+    host = FakeHost()
+    lane = host.dispatcher.lanes[host.nodes[0]]
+    lane.window, lane.reserved = 3.0, 2
+    host.take(*[host.rpc(EXPORT) for _ in range(4)])
+    assert len(host.sent) == 3
+    host.take(host.rpc())
+    host.answer(host.sent[0])
+    host.answer(host.sent[1])
+    assert [send.rpc.workload for send in host.sent[3:]] == [READ]
