--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -45,6 +45,9 @@
     host.sent[0].outcome = Outcome.ERRORED
     assert gate.repeatable(rpc, node, host.now) and not gate.repeatable(rpc, other, host.now)
     assert not gate.repeatable(rpc, node, host.now + MARKED.token_ms) and not gate.may_reject(rpc)
+    job = host.dispatcher.jobs[rpc]
+    assert gate.admits(job, lanes[node], host.now)
+    assert not gate.admits(job, lanes[node], host.now + MARKED.token_ms)
 
 
 @pytest.mark.parametrize("standing", [Standing.DRAINING, Standing.GONE])
@@ -52,7 +55,10 @@
     host = FakeHost()
     host.nodes[0].standing = standing
     host.round(heard=host.nodes)
-    host.take(host.rpc())
+    rpc = host.rpc()
+    host.take(rpc)
+    dispatcher = host.dispatcher
+    assert not dispatcher.gate.admits(dispatcher.jobs[rpc], dispatcher.lanes[host.nodes[0]], host.now)
     host.pass_time(500.0)
     assert not host.sent and len(host.rejected) == 1
 
