--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -142,6 +142,7 @@
         self._now: float | None = None
         self._list: list[list[str]] = []
         self._awaited = 0
+        self._stirred: list[Instance] = []  # something came in for them in the open batch
         self._events: dict[str, Callable[[list[str]], None]] = {
             "INCOMING": self._incoming,
             "COMPLETED": self._completed,
@@ -188,13 +189,14 @@
             event = self._events[name]
             instance = self._instances.get(parts[1])
             if instance is not None:
-                instance.stirred = True
+                self._stir(instance)
                 event(parts + ["-"] * (14 - len(parts)))
 
     def _reply(self) -> None:
         assert self._now is not None
-        for who, instance in self._instances.items():
-            if not instance.stirred:
+        for instance in self._stirred:
+            who = instance.writer.who
+            if self._instances.get(who) is not instance:  # killed later in the same batch
                 continue
             instance.writer.now = self._now
             try:
@@ -202,12 +204,18 @@
             except Exception as trouble:
                 text = " ".join(f"{type(trouble).__name__}: {trouble}".split())
                 self._lines.append(f"BAIL_OUT\t{who}\t{text}")
+        self._stirred.clear()
         self._lines.append("OK\n")
         self._out.write("\n".join(self._lines))
         self._out.flush()
         self._lines.clear()
         self._now = None
 
+    def _stir(self, instance: Instance) -> None:
+        if not instance.stirred:
+            instance.stirred = True
+            self._stirred.append(instance)
+
     def _born(self, parts: list[str]) -> None:
         who = parts[1]
         pairs = StartPairs(parts[3:])
@@ -222,7 +230,8 @@
             key_rest_ms=pairs.ms("guarantees.turnGapS"),
         )
         writer = InstanceWriter(who, self._lines)
-        self._instances[who] = Instance(writer=writer, dispatcher=dispatcher, pairs=pairs, stirred=True)
+        self._instances[who] = Instance(writer=writer, dispatcher=dispatcher, pairs=pairs)
+        self._stir(self._instances[who])
 
     def _incoming(self, parts: list[str]) -> None:
         who, xid, repeat, workload, give_up, update, owner, policy, hosts, extent, shard, units = parts[1:13]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 
 from fakehost import EXPORT, READ, FakeHost
 
-from cherrygrade.interface import ColdStart, Earnings, Outcome, Plan
+from cherrygrade.interface import ColdStart, Earnings, Outcome, Plan, Standing
 
 
 def answer_all(host):
@@ -159,3 +159,15 @@
     host.answer(host.sent[0])
     host.answer(host.sent[1])
     assert [send.rpc.workload for send in host.sent[3:]] == [READ]
+
+
+def test_a_node_that_goes_and_comes_back_keeps_its_answers():
+    host = FakeHost()
+    host.nodes[0].standing = Standing.GONE
+    host.round(heard=host.nodes)
+    rpc = host.rpc()
+    host.take(rpc)
+    host.nodes[0].standing = Standing.LIVE
+    host.round(heard=host.nodes)
+    host.answer(host.sent[0])
+    assert [send.rpc for send in host.sent] == [rpc] and rpc.over
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,19 +46,19 @@
     assert gate.repeatable(rpc, node, host.now) and not gate.repeatable(rpc, other, host.now)
     assert not gate.repeatable(rpc, node, host.now + MARKED.token_ms) and not gate.may_reject(rpc)
     job = host.dispatcher.jobs[rpc]
-    assert gate.admits(job, lanes[node], host.now)
-    assert not gate.admits(job, lanes[node], host.now + MARKED.token_ms)
+    assert gate.opens(job, lanes[node], host.now) == host.now
+    assert gate.opens(job, lanes[node], host.now + MARKED.token_ms) > host.now + MARKED.token_ms
 
 
 @pytest.mark.parametrize("standing", [Standing.DRAINING, Standing.GONE])
 def test_nothing_new_goes_to_a_node_that_drains_or_is_gone(standing):
     host = FakeHost()
+    dispatcher, lane = host.dispatcher, host.dispatcher.lanes[host.nodes[0]]
     host.nodes[0].standing = standing
     host.round(heard=host.nodes)
     rpc = host.rpc()
     host.take(rpc)
-    dispatcher = host.dispatcher
-    assert not dispatcher.gate.admits(dispatcher.jobs[rpc], dispatcher.lanes[host.nodes[0]], host.now)
+    assert dispatcher.gate.opens(dispatcher.jobs[rpc], lane, host.now) > host.now
     host.pass_time(500.0)
     assert not host.sent and len(host.rejected) == 1
 
