--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -96,7 +96,7 @@
         self.unit_ms = self.answer_ms = self.queue_ms = 0.0  # a unit's work; a unit's answer; waiting there
         self.next_step, self.next_window = now + INTERVAL_MS, now + WINDOW_MS
         self.strikes, self.trial_at, self.due = 0, 0.0, NEVER  # due: the earliest thing wanted here
-        self.last_answer, self.errors, self.warm_from = now, 0.0, -1e12
+        self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
         self.cold: deque[tuple[float, float]] = deque()  # units sent while cold; drops what left the span
 
     def slots(self) -> int:
@@ -206,7 +206,7 @@
 
     def trouble(self, now: float, patience: float) -> None:
         """Guards against dead, silent and unreachable nodes: single trials at waits that double."""
-        self.strikes += 1
+        self.strikes, self.struck_at = self.strikes + 1, self.struck_at if self.strikes else now
         self.trial_at = now + min(patience * (2.0 ** min(self.strikes - 1, 6) - 1.0), 4000.0)
 
     def answered(self, send: Send, now: float, patience: float) -> None:
@@ -216,8 +216,9 @@
         if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
         if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
-            # Struck twice: it was down, and may be cold before the list says so.
-            self.warm_from = max(self.warm_from, now if self.strikes > 1 else 0.0)
+            # Struck twice, and nothing of before came back: it was down, and may be cold before the list says so.
+            was_down = self.strikes > 1 and send.sent_ms > self.struck_at
+            self.warm_from = max(self.warm_from, now if was_down else 0.0)
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
