Estimates from other nodes, waiting weighed by age, cold allowance provable at any size

Cause: a lane with few answers took its first long wait for the node's work and rejected all after it; the smoothed waiting came too late. Then the cold allowance: one RPC for each of 200 dispatchers in an empty span cannot be proven to stay inside what a cold node bears.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -80,8 +80,8 @@
 class Lane:
     """One node as this dispatcher uses it: two queues, share, reserved slots, window and health."""
 
-    def __init__(self, node: Node, now: float, tight: float) -> None:
-        self.node, self.tight = node, tight
+    def __init__(self, node: Node, now: float, tight: float, others: Lane | None = None) -> None:
+        self.node, self.tight, self.others = node, tight, others or self
         self.pressed: list[Job] = []
         self.batch: list[Job] = []
         self.share, self.reserved, self.lead = 0.5, 0, 0.0
@@ -93,17 +93,18 @@
         self.last: Send | None = None  # the newest send, and whether it went beyond the window
         self.rode, self.virtual = False, 0.0
         self.tags: dict[Volume, float] = {}  # finish tags; dropped once behind virtual time
-        self.unit_ms = self.answer_ms = self.queue_ms = 0.0  # a unit's work; a unit's answer; waiting there
+        # A unit's work; waiting there; a unit's answer in the mean, and the least that was.
+        self.unit_ms, self.queue_ms, self.answer_ms, self.quiet_ms = 0.0, 0.0, tight, tight
         self.next_step, self.next_window = now + INTERVAL_MS, now + WINDOW_MS
         self.strikes, self.trial_at, self.due = 0, 0.0, NEVER  # due: the earliest thing wanted here
         self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
-        self.cold: deque[tuple[float, float]] = deque()  # units sent while cold; drops what left the span
+        self.cold: list[tuple[float, float]] = []  # units sent; drops what left the cold span
 
     def slots(self) -> int:
         return 1 if self.strikes else int(self.window)
 
     def expected(self, units: float) -> float:
-        return self.queue_ms + units * self.unit_ms
+        return self.queue_ms + units * (self.unit_ms or self.others.unit_ms)
 
     def sides(self) -> list[list[Job]]:
         """The queues that may fill a slot, the one that share picks first."""
@@ -112,7 +113,7 @@
             self.filled = self.filled or free <= 0
             return []
         self.contended = self.contended or bool(self.pressed and self.batch)
-        sides = [self.pressed, self.batch] if self.lead <= 0.0 else [self.batch, self.pressed]
+        sides = [self.pressed, self.batch][:: 1 if self.lead <= 0.0 else -1]
         # Other hosts' pressed RPCs are seen only as waiting at the node: batch yields to them too.
         crowded = self.window < 2.0 and self.queue_ms > 0.25 * self.tight
         # A slow node keeps slots reserved for good: they are lent while no pressed RPC waits or is out.
@@ -145,8 +146,7 @@
         self.lead *= bool(self.pressed and self.batch)  # what nobody else waited for is owed to nobody
 
     def catch_up(self, now: float) -> None:
-        """The steps owed since this node last mattered, in one go. As batch that waits has its lane looked
-        at each step, all but the first could only let the waiting last seen fade."""
+        """The steps owed since this node last mattered: all but the first only let the waiting seen fade."""
         owed = int((now - self.next_step) // INTERVAL_MS) + 1
         if owed > 0:
             self.queue_ms *= 1.0 if self.sends else 0.8**owed  # idle: nothing tells of the waiting any more
@@ -210,24 +210,28 @@
         self.trial_at = now + min(patience * (2.0 ** min(self.strikes - 1, 6) - 1.0), 4000.0)
 
     def answered(self, send: Send, now: float, patience: float) -> None:
-        job = self.sends.pop(send)
+        job, silent = self.sends.pop(send), now - self.last_answer
         self.free(job)
         outcome, units = send.outcome, max(send.rpc.units, 1e-6)
         if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
         if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
-            # Struck twice, and nothing of before came back: it was down, and may be cold before the list says so.
-            was_down = self.strikes > 1 and send.sent_ms > self.struck_at
-            self.warm_from = max(self.warm_from, now if was_down else 0.0)
+            # Struck twice, nothing of before came back: it was down, and may be cold before the list tells.
+            self.warm_from = now if self.strikes > 1 and send.sent_ms > self.struck_at else self.warm_from
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
             rate = send.took_ms / units
-            self.answer_ms += (0.05 if self.answer_ms else 1.0) * (rate - self.answer_ms)
-            self.unit_ms = (self.unit_ms or rate) * (1.002 if rate > self.unit_ms else 0.98)
+            self.others.answer_ms += 0.02 * (rate - self.others.answer_ms)
+            self.others.quiet_ms = min(self.others.quiet_ms, self.others.answer_ms)
+            # Seldom answered, it would take a first long wait for its work: it starts from what others show.
+            for lane, down in ((self.others, 0.98), (self, 0.9)):
+                lane.unit_ms = lane.unit_ms or lane.others.unit_ms or rate
+                lane.unit_ms *= down if rate <= lane.unit_ms else down**-0.1
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - units * self.unit_ms), send.rpc.workload.soft_ms
-            self.queue_ms += 0.2 * (min(wait, 4.0 * self.queue_ms + 50.0) - self.queue_ms)
+            fresh = 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)  # what was seen long ago counts for little
+            self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
             self.views.extend([(now, (now - job.taken) / soft)] * job.pressed)
 
@@ -235,10 +239,10 @@
 class Gate:
     """The seven rules. Every send passes `opens`, and every final rejection `may_reject`."""
 
-    def __init__(self, dispatchers: int, cold: ColdStart, budget: ResendBudget | None, permits: Permits,
-                 key_rest_ms: float) -> None:
-        self.dispatchers, self.cold, self.budget, self.permits = dispatchers, cold, budget, permits
-        self.key_rest_ms = key_rest_ms
+    def __init__(self, number: int, dispatchers: int, part: float, cold: ColdStart,
+                 budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
+        self.number, self.dispatchers, self.part, self.cold = number, dispatchers, part, cold
+        self.budget, self.permits, self.key_rest_ms = budget, permits, key_rest_ms
         self.taken: deque[float] = deque()  # both drop what left the budget's span
         self.further: deque[float] = deque()
         self.turns: dict[str, deque[Job]] = {}  # ordered RPCs by key; a key goes when none is left
@@ -249,14 +253,14 @@
         if job.rpc.workload.in_order and job.rpc.key:
             self.turns.setdefault(job.rpc.key, deque()).append(job)
 
-    def leave(self, job: Job) -> Job | None:
+    def leave(self, job: Job) -> Sequence[Job]:
         """The RPC is over and nothing of it is out: the next of its key, told here, may go."""
         turn = self.turns.get(job.rpc.key, ())
         if job in turn:
             turn.remove(job)
             if not turn:
                 del self.turns[job.rpc.key]
-        return turn[0] if turn else None
+        return [*turn][:1]
 
     def outcome(self, send: Send, now: float) -> None:
         if send.rpc.workload.in_order and send.outcome.may_still_run and send.rpc.key:
@@ -269,19 +273,19 @@
         self.rests = {key: until for key, until in self.rests.items() if until > now}
 
     def cold_room(self, lane: Lane, now: float) -> float:
-        """Units a just-started node still bears from here: an even part, growing as it must warm."""
-        cold = self.cold
-        age = now - max(lane.node.born_ms or -1e12, lane.warm_from)
+        """Units a just-started node still bears from here. What it bears grows as it must warm and is dealt
+        out evenly; where that is less than an RPC, in whole parts to those next in number to a mark of the
+        node's, so that in any span all dispatchers together keep to it, however many and without a word."""
+        cold, age = self.cold, now - max(lane.node.born_ms or -1e12, lane.warm_from)
         if not cold.units or age >= cold.warm_ms:
-            lane.cold.clear()
-            return 1e12
-        while lane.cold and lane.cold[0][0] < now - cold.span_ms:
-            lane.cold.popleft()
-        warm = cold.share + (1.0 - cold.share) * max(0.0, age - cold.span_ms) / cold.warm_ms
-        # One unit at a time, as slowly as it answered before, is less than any node can do.
-        known = cold.multiple * cold.share * cold.span_ms / (lane.answer_ms or NEVER)
-        room = max(cold.units, known) * warm / cold.share / self.dispatchers - sum(u for _, u in lane.cold)
-        return room if lane.cold else max(room, cold.units)
+            return NEVER
+        # One unit at a time, as slowly as this dispatcher's answers come in the mean, any node can do.
+        borne = max(cold.units, cold.multiple * cold.share * cold.span_ms / lane.others.quiet_ms)
+        borne *= 1.0 + (1.0 / cold.share - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms
+        part = max(borne / self.dispatchers, self.part)
+        place = (self.number + crc32(lane.node.address.encode())) % self.dispatchers
+        spent = sum(units for at, units in lane.cold if at >= now - cold.span_ms)
+        return part * ((place + 1) * part < borne + 1e-6) - spent
 
     def may_reject(self, rpc: Rpc) -> bool:
         ran = any(send.outcome is None or not send.outcome.never_ran for send in rpc.sends)
@@ -312,18 +316,17 @@
         return now + BEAT_MS if spent or empty or self.cold_room(lane, now) < rpc.units else now
 
     def sent(self, job: Job, lane: Lane, now: float) -> None:
-        if job.rpc.sends and self.budget:
-            self.further.append(now)
-        if not job.rpc.sends:
-            job.volume.store -= job.rpc.units
-        lane.cold.append((now, job.rpc.units))
+        self.further.extend([now] * bool(job.rpc.sends and self.budget))
+        job.volume.store -= job.rpc.units * (not job.rpc.sends)
+        lane.cold = [(at, u) for at, u in lane.cold if at >= now - self.cold.span_ms] + [(now, job.rpc.units)]
 
 
 class Dispatcher:
-    def __init__(self, *, seed: int, dispatchers: int, workloads: Sequence[Workload], earnings: Earnings,
-                 cold: ColdStart, budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
+    def __init__(self, *, seed: int, number: int, dispatchers: int, workloads: Sequence[Workload],
+                 earnings: Earnings, cold: ColdStart, budget: ResendBudget | None, permits: Permits,
+                 key_rest_ms: float) -> None:
         self.seed, self.count, self.earnings, self.permits = seed, 0, earnings, permits
-        self.gate = Gate(dispatchers, cold, budget, permits, key_rest_ms)
+        self.gate = Gate(number, dispatchers, earnings.mean_units, cold, budget, permits, key_rest_ms)
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
         self.tries: dict[Workload, float] = {}  # longest time given for a try; a workload each
@@ -338,11 +341,10 @@
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
         self.ask_at, self.ask_wait = 0.0 if permits.must_ask else NEVER, 1000.0
 
-    def decide(
-        self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
-        begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
-        probed: Sequence[tuple[Node, bool, float, dict[str, float]]] = (), list_answered: bool | None = None,
-    ) -> None:
+    def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
+               begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
+               probed: Sequence[tuple[Node, bool, float, dict[str, float]]] = (),
+               list_answered: bool | None = None) -> None:
         self.gate.pass_time(now)
         self.list(now, heard, list_answered)
         for send in answers:
@@ -373,11 +375,10 @@
         self.sweep(lane, now, writer)
         self.fill(lane, now, writer)
         del self.stirred[lane]
-        if lane.due < NEVER:  # up to the next mark of the grid
-            lane.due = (max(lane.due, now) // BEAT_MS + 1.0) * BEAT_MS
-            if lane.due != before:
-                self.count += 1
-                heappush(self.dues, (lane.due, self.count, lane))
+        lane.due = min(NEVER, (max(lane.due, now) // BEAT_MS + 1.0) * BEAT_MS)  # the next mark of the grid
+        if before != lane.due < NEVER:
+            self.count += 1
+            heappush(self.dues, (lane.due, self.count, lane))
 
     def wake(self, now: float, writer: Writer) -> None:
         """Ask for the list when due, and for the next wake."""
@@ -394,7 +395,7 @@
 
     def list(self, now: float, heard: Sequence[Node], answered: bool | None) -> None:
         for node in heard:
-            self.lanes.setdefault(node, Lane(node, now, self.tight))
+            self.lanes.setdefault(node, Lane(node, now, self.tight, self.unplaced))
         if heard:  # what waits for a place or for a replacement looks again
             self.shards = {}
             self.volumes = {name: vol for name, vol in self.volumes.items() if now - vol.seen < 60000.0}
@@ -412,8 +413,7 @@
     def take(self, rpc: Rpc, now: float, writer: Writer) -> None:
         if rpc.workload is None or rpc.plan is None:
             return writer.reject(rpc, 0.0)
-        volume = self.volumes.get(rpc.volume) or Volume(rpc.plan, rpc.hosts, now, self.earnings)
-        self.volumes[rpc.volume] = volume
+        volume = self.volumes.setdefault(rpc.volume, Volume(rpc.plan, rpc.hosts, now, self.earnings))
         volume.pass_time(now)
         left = rpc.give_up_ms - now
         longest = self.tries[rpc.workload] = max(self.tries.get(rpc.workload, 0.0), left)
@@ -438,7 +438,7 @@
             if few < 0 and best:
                 break
             credit = lane.slots() - lane.busy - len(lane.pressed)
-            if credit > best and self.gate.cold_room(lane, now) >= job.rpc.units:
+            if credit > best and self.gate.cold_room(lane, now) >= NEVER:
                 best, job.lane = credit, lane
         self.stir(job.lane, now)
         if job.queue is None and not job.rpc.sends:
@@ -475,7 +475,7 @@
                 job = side[0] if side else None
                 if (job and job.rpc.shard < 0 and (not own or job.taken < own[0].taken)
                         and self.gate.cold_room(lane, now) >= job.rpc.units):
-                    job.lane = lane
+                    job.lane, lane.due = lane, now  # looked at again at once
                     job.join(own)
         for side in [lane.riders(), *lane.sides()]:
             for job in side:
@@ -520,8 +520,7 @@
     def finish(self, job: Job, now: float) -> None:
         job.join(None)
         if not job.out:
-            heir = self.gate.leave(job)
-            if heir is not None and heir.lane is not None:
+            for heir in self.gate.leave(job):
                 self.stir(heir.lane, now)
             self.jobs.pop(job.rpc, None)
 
--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -221,6 +221,7 @@
         pairs = StartPairs(parts[3:])
         dispatcher = Dispatcher(
             seed=int(number(parts[2])),
+            number=int(pairs.number("ordinal")),
             dispatchers=max(1, int(pairs.number("balancers", 1))),
             workloads=list(pairs.workloads().values()),
             earnings=pairs.earnings(),
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -38,6 +38,7 @@
         self.nodes = [Node(f"10.0.0.{i}:1", zone="z", shard=i) for i in range(nodes)]
         self.dispatcher = Dispatcher(
             seed=7,
+            number=more.get("number", 0),
             dispatchers=more.get("dispatchers", 1),
             workloads=[READ, EXPORT, ORDERED, ONCE, MARKED],
             earnings=more.get("earnings", Earnings(in_share=0.5, beyond=0.1, largest_units=4.0)),
