A send that stays out tells of waiting before it is answered

What is out, while nothing sent after is answered, shows it. Also guards against nodes that stand still.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -59,7 +59,7 @@
 
     def __init__(self, rpc: Rpc, volume: Volume, now: float, soft: float) -> None:
         self.rpc, self.volume, self.taken, self.soft = rpc, volume, now, soft
-        self.level, self.key = 1.0, (0.0, 0.0)  # part of the value that its units still earn; its place
+        self.level, self.key, self.overdue = 1.0, (0.0, 0.0), 0.0  # what its units earn; its place in a queue
         self.queue: list[Job] | None = None
         self.lane: Lane | None = None
         self.pressed = self.lost = False
@@ -135,6 +135,7 @@
 
     def went(self, job: Job, send: Send) -> None:
         self.last, self.sends[send] = send, job
+        job.overdue = send.sent_ms + 1.5 * self.tight + self.expected(send.rpc.units)
         self.rode, job.lost = self.busy >= self.slots(), False
         self.busy, self.batch_out = self.busy + 1, self.batch_out + (not job.pressed)
 
@@ -149,9 +150,12 @@
         """The steps owed since this node last mattered: all but the first only let the waiting seen fade."""
         owed = int((now - self.next_step) // INTERVAL_MS) + 1
         if owed > 0:
-            self.queue_ms *= 1.0 if self.sends else 0.8**owed  # idle: nothing tells of the waiting any more
+            self.queue_ms *= 1.0 if self.busy else 0.8**owed  # idle: nothing tells of the waiting any more
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
+        for send, job in self.sends.items():  # what stays out while nothing is answered tells of waiting
+            out_ms = 0.0 if job.lost or self.last_answer > send.sent_ms else now - send.sent_ms
+            self.queue_ms = max(self.queue_ms, out_ms - send.rpc.units * self.unit_ms)
         if now >= self.next_window:
             self.resize()
             self.next_window += ((now - self.next_window) // WINDOW_MS + 1.0) * WINDOW_MS
@@ -182,8 +186,7 @@
         self.window = max(FLOOR, min(CEILING, self.window * 0.75 if cut else self.window + grow))
         self.waits, self.filled = [], self.busy >= self.slots()
         if self.reserved >= int(self.window):  # a reserved slot that the window takes comes back as share
-            self.reserved = int(self.window) - 1
-            self.share = min(1.0, self.share + 1.0 / (int(self.window) - self.reserved))
+            self.reserved, self.share = int(self.window) - 1, 1.0
         self.tags = {volume: tag for volume, tag in self.tags.items() if tag > self.virtual}
 
     def free(self, job: Job) -> None:
@@ -195,9 +198,8 @@
         """Guards against lost messages and silent nodes: a long overdue send holds no slot any more."""
         self.due, silent = NEVER, False
         for send, job in self.sends.items():
-            overdue = send.sent_ms + patience + self.expected(send.rpc.units)
-            if not job.lost and now <= overdue:
-                self.due = min(self.due, overdue)
+            if not job.lost and now <= job.overdue:
+                self.due = min(self.due, job.overdue)
             elif not job.lost:
                 self.free(job)
                 silent = silent or self.last_answer < send.sent_ms
@@ -447,9 +449,8 @@
 
     def rank(self, job: Job, now: float) -> None:
         """Find what the RPC's units still earn, and so its side and its place there."""
-        rpc, volume, lane = job.rpc, job.volume, job.lane
-        workload, plan = rpc.workload, volume.plan
-        tag = 0.0
+        rpc, volume, lane, workload = job.rpc, job.volume, job.lane, job.rpc.workload
+        plan, tag = volume.plan, 0.0
         if not volume.reserve(rpc.units, workload.value / self.top):
             tag = lane.tag(volume, rpc.units)
             ahead = (tag - lane.virtual) * plan.weight / max(plan.usual_rate, 1e-6)
@@ -465,8 +466,7 @@
         while now >= shut and lane.node.standing is Standing.LIVE and self.fill_one(lane, now, writer):
             pass
         if lane.pressed or lane.batch:  # the controller and the window go on while something waits
-            looks = [lane.next_window, lane.next_step if lane.batch else NEVER, shut if shut > now else NEVER]
-            lane.due = min(lane.due, *looks)
+            lane.due = min(lane.due, lane.next_step, shut if shut > now else NEVER)
 
     def fill_one(self, lane: Lane, now: float, writer: Writer) -> bool:
         spare = self.unplaced
@@ -487,7 +487,7 @@
                 job.join(None)
                 self.gate.sent(job, lane, now)
                 lane.went(job, writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now))
-                lane.due = min(lane.due, now + 1.5 * self.tight)
+                lane.due = min(lane.due, job.overdue)
                 return True
         return False
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -192,3 +192,43 @@
     host.round(heard=host.nodes)
     host.answer(host.sent[0])
     assert [send.rpc for send in host.sent] == [rpc] and rpc.over
+
+
+def test_a_send_that_stays_out_tells_of_waiting_before_it_is_answered():
+    host = FakeHost()
+    host.take(host.rpc(units=1.0))
+    host.now += 20.0
+    host.answer(host.sent[0])
+    host.take(host.rpc())
+    host.pass_time(210.0)
+    late = host.rpc()
+    host.take(late)
+    assert not host.dispatcher.jobs[late].pressed
+
+
+def test_one_long_first_answer_is_not_taken_for_the_work_of_a_seldom_used_node():
+    host = FakeHost(nodes=2)
+    for _ in range(5):
+        host.take(host.rpc(shard=1))
+        host.now += 20.0
+        host.answer(host.sent[-1])
+    host.take(host.rpc())
+    host.now += 180.0
+    host.answer(host.sent[-1])
+    host.pass_time(1000.0)
+    host.take(host.rpc(units=2.0))
+    assert host.sent[-1].rpc.units == 2.0
+
+
+@pytest.mark.parametrize("came_back", [True, False])
+def test_a_node_that_answers_what_was_sent_before_its_strikes_was_slow_and_is_not_cold(came_back):
+    cold = ColdStart(units=4.0, share=0.2, multiple=2.0, span_ms=1000.0, warm_ms=17000.0)
+    host = FakeHost(dispatchers=8, number=3, cold=cold)
+    lane = host.dispatcher.lanes[host.nodes[0]]
+    for _ in range(3):
+        host.pass_time(900.0)
+        host.take(host.rpc(EXPORT))
+    host.pass_time(900.0)
+    assert lane.strikes > 1
+    host.answer(host.sent[0] if came_back else host.sent[-1])
+    assert (lane.warm_from < host.now) == came_back and not lane.strikes
