--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -206,8 +206,7 @@
         if silent:
             self.trouble(now, patience)
 
-    def trouble(self, now: float, patience: float) -> None:
-        """Guards against dead, silent and unreachable nodes: single trials at waits that double."""
+    def trouble(self, now: float, patience: float) -> None:  # dead, silent, unreachable: single trials
         self.strikes, self.struck_at = self.strikes + 1, self.struck_at if self.strikes else now
         self.trial_at = now + min(patience * (2.0 ** min(self.strikes - 1, 6) - 1.0), 4000.0)
 
@@ -227,12 +226,13 @@
             self.others.answer_ms += 0.02 * (rate - self.others.answer_ms)
             self.others.quiet_ms = min(self.others.quiet_ms, self.others.answer_ms)
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
-            for lane, down in ((self.others, 0.98), (self, 0.9)):
+            for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
                 lane.unit_ms = lane.unit_ms or lane.others.unit_ms or rate
-                lane.unit_ms *= down if rate <= lane.unit_ms else down**-0.1
+                lane.unit_ms *= (0.98 if rate <= lane.unit_ms else 1.002) ** steps
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - units * self.unit_ms), send.rpc.workload.soft_ms
-            fresh = 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)  # what was seen long ago counts for little
+            # Long ago seen counts for little, and what stayed out may have raised it in one go.
+            fresh = 1.0 - (0.8 if wait > self.queue_ms else 0.5) ** (1.0 + silent / INTERVAL_MS)
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
             self.views.extend([(now, (now - job.taken) / soft)] * job.pressed)
