A dispatcher's own gap is not the nodes' waiting; a late client counts from the send's own time

Cause: after a stall the sends whose answers came in the same round were held to be out as long as the stall, which raised the waiting. Also guards against any late reading.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -154,8 +154,8 @@
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
         for send, job in self.sends.items():  # what stays out while nothing is answered tells of waiting
-            out_ms = 0.0 if job.lost or self.last_answer > send.sent_ms else now - send.sent_ms
-            self.queue_ms = max(self.queue_ms, out_ms - send.rpc.units * self.unit_ms)
+            if not (send.outcome or job.lost or self.last_answer > send.sent_ms):  # nor now, after a gap of ours
+                self.queue_ms = max(self.queue_ms, now - send.sent_ms - send.rpc.units * self.unit_ms)
         if now >= self.next_window:
             self.resize()
             self.next_window += ((now - self.next_window) // WINDOW_MS + 1.0) * WINDOW_MS
@@ -235,7 +235,7 @@
             fresh = 1.0 - (0.8 if wait > self.queue_ms else 0.5) ** (1.0 + silent / INTERVAL_MS)
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
-            self.views.extend([(now, (now - job.taken) / soft)] * job.pressed)
+            self.views.extend([(now, (send.sent_ms + send.took_ms - job.taken) / soft)] * job.pressed)
 
 
 class Gate:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -74,7 +74,7 @@
     host.pass_time(290.0)
     export = host.rpc(EXPORT, shard=-1, gives_up=400.0)
     host.take(export)
-    lane.queue_ms = 100.0
+    lane.queue_ms = 500.0
     host.answer(host.sent[0])
     assert export in [job.rpc for job in lane.batch]
     host.pass_time(390.0)
@@ -232,3 +232,33 @@
     assert lane.strikes > 1
     host.answer(host.sent[0] if came_back else host.sent[-1])
     assert (lane.warm_from < host.now) == came_back and not lane.strikes
+
+
+def test_a_dispatchers_own_gap_is_neither_silence_nor_waiting_of_the_nodes():
+    host = FakeHost(nodes=2)
+    host.pass_time(10.0)
+    host.take(host.rpc(), host.rpc(shard=1))
+    first, other = host.sent
+    host.now += 1300.0
+    for send in (first, other):
+        send.outcome, send.took_ms, send.rpc.over = Outcome.OK, 30.0, True
+    late, fresh = host.rpc(gives_up=700.0), [host.rpc() for _ in range(9)]
+    host.round(answers=[first, other], taken=[late, *fresh])
+    lanes = [host.dispatcher.lanes[node] for node in host.nodes]
+    assert all(lane.queue_ms < 10.0 and not lane.strikes and lane.window >= 2.0 for lane in lanes)
+    assert len(host.sent) == 4 and host.sent[2].rpc is fresh[0]
+
+
+@pytest.mark.parametrize("dispatchers", [1, 1000])
+@pytest.mark.parametrize("born_ms", [0.0, 1e9])
+def test_odd_starts_and_gaps_of_seconds_lose_nothing(dispatchers, born_ms):
+    cold = ColdStart(units=12.0, share=0.25, multiple=2.0, span_ms=1000.0, warm_ms=10000.0)
+    host = FakeHost(dispatchers=dispatchers, number=dispatchers - 1, cold=cold)
+    host.nodes[0].born_ms = born_ms
+    rpcs = [host.rpc(), host.rpc(EXPORT, shard=-1), host.rpc(shard=9)]
+    host.take(*rpcs)
+    host.now += 1900.0
+    host.round()
+    answer_all(host)
+    host.pass_time(4000.0)
+    assert all(rpc.over for rpc in rpcs)
