--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -154,7 +154,7 @@
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
         for send, job in self.sends.items():  # what stays out while nothing is answered tells of waiting
-            if not (send.outcome or job.lost or self.last_answer > send.sent_ms):  # nor now, after a gap of ours
+            if not (send.outcome or job.lost or self.last_answer > send.sent_ms):  # nor now, after our gap
                 self.queue_ms = max(self.queue_ms, now - send.sent_ms - send.rpc.units * self.unit_ms)
         if now >= self.next_window:
             self.resize()
@@ -213,7 +213,7 @@
     def answered(self, send: Send, now: float, patience: float) -> None:
         job, silent = self.sends.pop(send), now - self.last_answer
         self.free(job)
-        outcome, units = send.outcome, max(send.rpc.units, 1e-6)
+        outcome, rate = send.outcome, send.took_ms / max(send.rpc.units, 1e-6)
         if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
         if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
@@ -222,15 +222,15 @@
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
-            rate = send.took_ms / units
             self.others.answer_ms += 0.02 * (rate - self.others.answer_ms)
             self.others.quiet_ms = min(self.others.quiet_ms, self.others.answer_ms)
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
             for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
-                lane.unit_ms = lane.unit_ms or lane.others.unit_ms or rate
-                lane.unit_ms *= (0.98 if rate <= lane.unit_ms else 1.002) ** steps
+                known = lane.unit_ms or lane.others.unit_ms or rate
+                mild = (0.98 if rate <= known else 1.002) ** steps
+                lane.unit_ms = known * (mild if 2.0 * rate > known else 0.7)
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
-            wait, soft = max(0.0, send.took_ms - units * self.unit_ms), send.rpc.workload.soft_ms
+            wait, soft = max(0.0, send.took_ms - send.rpc.units * self.unit_ms), send.rpc.workload.soft_ms
             # Long ago seen counts for little, and what stayed out may have raised it in one go.
             fresh = 1.0 - (0.8 if wait > self.queue_ms else 0.5) ** (1.0 + silent / INTERVAL_MS)
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -262,3 +262,12 @@
     answer_all(host)
     host.pass_time(4000.0)
     assert all(rpc.over for rpc in rpcs)
+
+
+def test_a_unit_work_told_too_high_by_the_first_answers_comes_down_in_a_few():
+    host = FakeHost()
+    for took in [150.0, 20.0, 20.0, 20.0, 20.0, 20.0]:
+        host.take(host.rpc())
+        host.now += took
+        host.answer(host.sent[-1])
+    assert host.dispatcher.lanes[host.nodes[0]].unit_ms < 45.0
