--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -27,7 +27,7 @@
 FEW = 12  # open nodes that are compared for a new object; a large fleet is not ranked whole
 VIEW_MS = 2000.0  # answers that the controller's p99 is taken over
 INTERVAL_MS = 200.0  # controller steps
-WINDOW_MS = 1000.0  # window steps
+WINDOW_MS, RARE_MS = 1000.0, 500.0  # window steps; answers further apart than this are rare
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
@@ -153,8 +153,8 @@
             self.queue_ms *= 1.0 if self.busy else 0.8**owed  # idle: nothing tells of the waiting any more
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
-        for send, job in self.sends.items():  # what stays out while nothing is answered tells of waiting
-            if not (send.outcome or job.lost or self.last_answer > send.sent_ms):  # nor now, after our gap
+        for send, job in self.sends.items():  # where answers are rare, what stays out tells of waiting
+            if not (send.outcome or job.lost or self.last_answer > send.sent_ms - RARE_MS):  # not our gap
                 self.queue_ms = max(self.queue_ms, now - send.sent_ms - send.rpc.units * self.unit_ms)
         if now >= self.next_window:
             self.resize()
@@ -231,8 +231,8 @@
                 lane.unit_ms = known * (mild if 2.0 * rate > known else 0.7)
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - send.rpc.units * self.unit_ms), send.rpc.workload.soft_ms
-            # Long ago seen counts for little, and what stayed out may have raised it in one go.
-            fresh = 1.0 - (0.8 if wait > self.queue_ms else 0.5) ** (1.0 + silent / INTERVAL_MS)
+            # What was seen long ago counts for little.
+            fresh = 0.2 if silent < RARE_MS else 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
             self.views.extend([(now, (send.sent_ms + send.took_ms - job.taken) / soft)] * job.pressed)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -199,6 +199,7 @@
     host.take(host.rpc(units=1.0))
     host.now += 20.0
     host.answer(host.sent[0])
+    host.pass_time(900.0)
     host.take(host.rpc())
     host.pass_time(210.0)
     late = host.rpc()
