--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -25,8 +25,7 @@
 
 BEAT_MS, NEVER = 10.0, 1e15  # wakes are asked for on this grid, so that they never pile up
 FEW = 12  # open nodes that are compared for a new object; a large fleet is not ranked whole
-VIEW_MS = 2000.0  # answers that the controller's p99 is taken over
-INTERVAL_MS = 200.0  # controller steps
+VIEW_MS, INTERVAL_MS = 2000.0, 200.0  # answers that the controller's p99 is taken over; its steps
 WINDOW_MS, RARE_MS = 1000.0, 500.0  # window steps; answers further apart than this are rare
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
@@ -226,9 +225,8 @@
             self.others.quiet_ms = min(self.others.quiet_ms, self.others.answer_ms)
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
             for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
-                known = lane.unit_ms or lane.others.unit_ms or rate
-                mild = (0.98 if rate <= known else 1.002) ** steps
-                lane.unit_ms = known * (mild if 2.0 * rate > known else 0.7)
+                unit = lane.unit_ms or lane.others.unit_ms or rate
+                lane.unit_ms = unit * (0.7 if 2 * rate < unit else (0.98 if rate <= unit else 1.002) ** steps)
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - send.rpc.units * self.unit_ms), send.rpc.workload.soft_ms
             # What was seen long ago counts for little.
@@ -275,15 +273,14 @@
         self.rests = {key: until for key, until in self.rests.items() if until > now}
 
     def cold_room(self, lane: Lane, now: float) -> float:
-        """Units a just-started node still bears from here. What it bears grows as it must warm and is dealt
-        out evenly; where that is less than an RPC, in whole parts to those next in number to a mark of the
-        node's, so that in any span all dispatchers together keep to it, however many and without a word."""
+        """Units a just-started node bears from here: an even part; where that is under an RPC, one for
+        those next in number to a mark of the node's. In any span all together keep to it, however many."""
         cold, age = self.cold, now - max(lane.node.born_ms or -1e12, lane.warm_from)
         if not cold.units or age >= cold.warm_ms:
             return NEVER
         # One unit at a time, as slowly as this dispatcher's answers come in the mean, any node can do.
         borne = max(cold.units, cold.multiple * cold.share * cold.span_ms / lane.others.quiet_ms)
-        borne *= 1.0 + (1.0 / cold.share - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms
+        borne *= 1.0 + (1.0 / max(cold.share, 0.01) - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms
         part = max(borne / self.dispatchers, self.part)
         place = (self.number + crc32(lane.node.address.encode())) % self.dispatchers
         spent = sum(units for at, units in lane.cold if at >= now - cold.span_ms)
@@ -341,7 +338,8 @@
         self.stirred: dict[Lane, None] = {}  # lanes that this round concerns; emptied by it
         self.dues: list[tuple[float, int, Lane]] = []  # one live entry a lane, old ones pass
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
-        self.ask_at, self.ask_wait = 0.0 if permits.must_ask else NEVER, 1000.0
+        self.ask_spread = self.ask_wait = max(1000.0, 25.0 * dispatchers)  # all at once would jam discovery
+        self.ask_at = 0.0 if permits.must_ask else NEVER
 
     def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
                begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
@@ -408,9 +406,11 @@
                 self.shards.setdefault(lane.node.shard, []).append(lane)
                 if lane.pressed or lane.batch:
                     self.stir(lane, now)
-        if answered is not None and self.permits.must_ask:
-            self.ask_at = NEVER if answered else now + self.ask_wait
-            self.ask_wait = 1000.0 if answered else min(self.ask_wait * 2.0, self.permits.ask_within_ms)
+        if self.permits.must_ask and (answered is not None or not self.ask_at):
+            chance = crc32(f"{self.seed}:{self.ask_wait}".encode()) / 2.0**32
+            self.ask_at = NEVER if answered else now + self.ask_wait * chance
+            again = min(self.ask_wait * 2.0, self.permits.ask_within_ms)
+            self.ask_wait = self.ask_spread if answered else again
 
     def take(self, rpc: Rpc, now: float, writer: Writer) -> None:
         if rpc.workload is None or rpc.plan is None:
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -37,7 +37,7 @@
         self.wakes: list[float] = []
         self.nodes = [Node(f"10.0.0.{i}:1", zone="z", shard=i) for i in range(nodes)]
         self.dispatcher = Dispatcher(
-            seed=7,
+            seed=more.get("seed", 7),
             number=more.get("number", 0),
             dispatchers=more.get("dispatchers", 1),
             workloads=[READ, EXPORT, ORDERED, ONCE, MARKED],
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,7 +5,7 @@
 import pytest
 from fakehost import EXPORT, READ, FakeHost
 
-from cherrygrade.interface import ColdStart, Earnings, Outcome, Plan, Standing
+from cherrygrade.interface import ColdStart, Earnings, Outcome, Permits, Plan, Standing
 
 
 def answer_all(host):
@@ -272,3 +272,16 @@
         host.now += took
         host.answer(host.sent[-1])
     assert host.dispatcher.lanes[host.nodes[0]].unit_ms < 45.0
+
+
+def test_dispatchers_that_must_ask_for_the_list_do_not_ask_all_at_once():
+    asked = []
+    for seed in range(20):
+        host = FakeHost(dispatchers=200, seed=seed, permits=Permits(must_ask=True, ask_within_ms=10000.0))
+        host.pass_time(6000.0)
+        asked += host.asked
+        host.round(list_answered=False)
+        host.pass_time(10000.0)
+        assert len(host.asked) == 2
+    most = max(sum(1 for at in asked if 0.0 <= at - first < 500.0) for first in asked)
+    assert len(asked) == 20 and most < 8
