A node first heard of while cold gets nothing for one span

Cause: a dispatcher born anew has no memory and could spend its part of a cold node's allowance twice within one span. Also guards against nodes moved between dispatchers' lists. Costs a replacement one span.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -97,7 +97,7 @@
         self.next_step, self.next_window = now + INTERVAL_MS, now + WINDOW_MS
         self.strikes, self.trial_at, self.due = 0, 0.0, NEVER  # due: the earliest thing wanted here
         self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
-        self.cold: list[tuple[float, float]] = []  # units sent; drops what left the cold span
+        self.cold = [(now, NEVER)]  # units sent in the span; a dispatcher before this one may have spent it
 
     def slots(self) -> int:
         return 1 if self.strikes else int(self.window)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,6 +67,9 @@
     cold = ColdStart(units=12.0, share=0.25, multiple=2.0, span_ms=1000.0, warm_ms=10000.0)
     host = FakeHost(dispatchers=4, cold=cold)
     host.nodes[0].born_ms = host.now
+    host.take(host.rpc())
+    host.pass_time(1001.0)
+    assert not host.sent  # a dispatcher before this one may have spent its part
     for _ in range(80):
         host.take(host.rpc())
         for send in [send for send in host.sent if send.outcome is None]:
