--- /dev/null
+++ b/cherrygrade/door.py
@@ -0,0 +1,70 @@
+"""What every host of a dispatcher shares at its door: what came in for the next round, and nodes by address.
+
+Standard library only: the bench's adapter uses it too. Holds no decision.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cherrygrade.interface import Node, Rpc, Send, Standing, Writer
+from cherrygrade.policy import Dispatcher
+
+
+class Inbox:
+    """All that came in since the last round; emptied by the round."""
+
+    def __init__(self) -> None:
+        self.clear()
+
+    def clear(self) -> None:
+        self.taken: list[Rpc] = []
+        self.answers: list[Send] = []
+        self.begun: list[Send] = []
+        self.left: list[Rpc] = []
+        self.heard: list[Node] = []
+        self.probed: list[tuple[Node, bool, float, dict[str, float]]] = []
+        self.list_answered: bool | None = None
+
+    def decide(self, dispatcher: Dispatcher, now: float, writer: Writer) -> None:
+        """One round of the module with all that came in."""
+        dispatcher.decide(
+            now,
+            writer,
+            taken=self.taken,
+            answers=self.answers,
+            begun=self.begun,
+            left=self.left,
+            heard=self.heard,
+            probed=self.probed,
+            list_answered=self.list_answered,
+        )
+        self.clear()
+
+
+class Nodes:
+    """Node objects by address; one a machine, as long as the host lives."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, Node] = {}
+        self._listed: set[str] = set()
+
+    def node(self, address: str) -> Node:
+        return self.by_address.setdefault(address, Node(address))
+
+    def told(self, named: Iterable[Node], whole: bool) -> list[Node]:
+        """A list came that names these: gives all nodes of which something was learned by it.
+
+        A whole list that leaves a node out tells that it is gone.
+        """
+        heard = list(named)
+        addresses = {node.address for node in heard}
+        if not whole:
+            self._listed |= addresses
+            return heard
+        for address in sorted(self._listed - addresses):
+            node = self.by_address[address]
+            node.standing = Standing.GONE
+            heard.append(node)
+        self._listed = addresses
+        return heard
--- /dev/null
+++ b/cherrygrade/gateway/process.py
@@ -0,0 +1,267 @@
+"""The dispatcher's process: listener, sessions, links, follower, rounds, and their life from start to end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from cherrygrade.door import Nodes
+from cherrygrade.gateway.follower import Follower
+from cherrygrade.gateway.held import Held, Out
+from cherrygrade.gateway.links import Link
+from cherrygrade.gateway.roster import Book
+from cherrygrade.gateway.rounds import Rounds
+from cherrygrade.gateway.sessions import Session
+from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.interface import Node, Outcome
+from cherrygrade.policy import Dispatcher
+from cherrygrade.site import Bearings, Bounds, Lines, Place, Trade
+from cherrygrade.wire.messages import Errored, Ok, ReadRpc, Rejected, WriteRpc
+
+LEFT_CLEAN, LEFT_BROKEN, LEFT_BY_FORCE = 0, 70, 75
+
+
+class Gateway:
+    """One dispatcher. Links are a node each, sessions a client each; both go with what they stand for."""
+
+    def __init__(
+        self,
+        place: Place,
+        trade: Trade,
+        bearings: Bearings,
+        bounds: Bounds,
+        lines: Lines,
+        log: Callable[..., None],
+        make: Callable[..., Dispatcher] = Dispatcher,
+    ) -> None:
+        self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
+        self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
+        self.hello_ms, self.come_back_ms = bounds.hello_ms, bearings.permits.come_back_ms
+        self.leaving = False
+        self.held: dict[Held, None] = {}  # taken and not over; emptied by final answers and leavings
+        self.sessions: dict[Session, None] = {}
+        self.links: dict[Node, Link] = {}
+        self.nodes = Nodes()
+        self.wheel: Wheel[Out] = Wheel()
+        self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        dispatcher = make(
+            seed=place.seed,
+            number=place.number,
+            dispatchers=place.dispatchers,
+            workloads=list(trade.workloads.values()),
+            earnings=bearings.earnings,
+            cold=bearings.cold,
+            budget=bearings.budget,
+            permits=bearings.permits,
+            key_rest_ms=bearings.key_rest_ms,
+        )
+        self.rounds = Rounds(dispatcher, self, self._crashed, lambda text: log("module", text=text))
+        self.follower = Follower(
+            place.register,
+            place.name,
+            Book(self.nodes),
+            bearings.permits.must_ask,
+            self.rounds.clock,
+            self._heard,
+            log,
+        )
+        self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+
+    # Life.
+
+    async def start(self) -> int:
+        """Listen, follow the register; gives the port."""
+        host, _, port = self.place.listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Session(self).conn, host, int(port), backlog=1024)
+        self.follower.start()
+        if self.follower.must_ask:
+            self.rounds.stir()  # the first round asks for the list
+        bound: int = self._server.sockets[0].getsockname()[1]
+        self.log("listening", address=f"{host}:{bound}", dispatcher=self.name)
+        return bound
+
+    def leave(self) -> None:
+        """Take nothing new, finish what is held inside its deadlines, end; a second call ends at once."""
+        if self.leaving:
+            self._end(LEFT_BY_FORCE)
+            return
+        self.leaving = True
+        self.log("leaving", held=len(self.held))
+        if self._server is not None:
+            self._server.close()
+        asyncio.get_running_loop().call_later(self.bounds.leave_ms / 1000.0, self._end, LEFT_BY_FORCE)
+        self._look_done()
+
+    def _look_done(self) -> None:
+        if self.leaving and not self.held:
+            # What this round still writes goes out first.
+            asyncio.get_running_loop().call_soon(self._end, LEFT_CLEAN)
+
+    def _end(self, code: int) -> None:
+        if self.done.done():
+            return
+        self.rounds.end()
+        for held in [*self.held]:
+            self._answer(held, Errored(0, "dispatcher ends"))
+        if self._server is not None:
+            self._server.close()
+        self.follower.close()
+        for link in self.links.values():
+            link.close()
+        for session in [*self.sessions]:
+            session.conn.close("dispatcher leaves", self.come_back_ms)
+        if self._timer is not None:
+            self._timer.cancel()
+        self.log("ended", code=code)
+        self.done.set_result(code)
+
+    def _crashed(self, trouble: Exception, round_: str) -> None:
+        self.log("module broke", round=round_, traceback="".join(traceback.format_exception(trouble)))
+        self._end(LEFT_BROKEN)
+
+    # What sessions call.
+
+    @property
+    def full(self) -> bool:
+        return self.leaving or len(self.held) >= self.bounds.most_held
+
+    def enter(self, session: Session) -> bool:
+        if self.leaving or len(self.sessions) >= self.bounds.most_clients:
+            return False
+        self.sessions[session] = None
+        return True
+
+    def exit(self, session: Session, why: str) -> None:
+        if self.sessions.pop(session, self) is None:
+            self.log("client left", client=session.name, peer=session.conn.peer, why=why)
+
+    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held:
+        read = isinstance(ask, ReadRpc)
+        length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
+        volume = self.trade.volumes.get(ask.volume)
+        held = Held(
+            workload=self.trade.workloads.get(ask.workload),
+            plan=volume.plan if volume else None,
+            volume=ask.volume,
+            hosts=volume.hosts if volume else 1,
+            key=ask.key,
+            shard=ask.shard,
+            units=self.trade.measure.units(length),
+            give_up_ms=self.rounds.clock() + min(ask.left_ms, 1e7) - self.bounds.answer_ms,
+            writes=not read,
+            repeat=ask.repeat,
+            id=f"{session.name}:{ask.id}",
+            session=session,
+            ask=ask,
+            body=body,
+        )
+        self.held[held] = None
+        self.rounds.take(held)
+        return held
+
+    def left(self, held: Held) -> None:
+        self.held.pop(held, None)
+        self.rounds.leave(held)
+        self._look_done()
+
+    # What the register's follower calls.
+
+    def _heard(self, nodes: list[Node], answered: bool | None) -> None:
+        for node in nodes:
+            link = self.links.get(node)
+            if link is not None:
+                link.standing_heard()
+        self.rounds.inbox.heard += nodes
+        if answered is not None:
+            self.rounds.inbox.list_answered = answered
+        self.rounds.stir()
+
+    # What rounds carry out.
+
+    def before_round(self, now: float) -> None:
+        for out in self.wheel.due(now):
+            self.links[out.node].give_up(out, Outcome.TIMED_OUT)
+
+    def carry(self, out: Out, limit_ms: float) -> None:
+        link = self.links.get(out.node)
+        if link is None:
+            link = self.links[out.node] = Link(
+                out.node,
+                self.name,
+                f"{self.place.seed}:{self.name}>{out.node.address}",
+                self.rounds,
+                self.wheel,
+                self.most_body,
+                self.lines_,
+                self.log,
+            )
+        out.slot = self.wheel.put(out, out.sent_ms + limit_ms)
+        link.carry(out)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        at = self.wheel.next_at()
+        if at is None or (self._timer is not None and self._timer_at <= at):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = asyncio.get_running_loop().call_at(at / 1000.0, self._time_out)
+
+    def _time_out(self) -> None:
+        self._timer = None
+        if self.wheel.next_at() is not None:
+            self.before_round(self.rounds.clock())
+            self._set_timer()
+
+    def withdraw(self, out: Out) -> None:
+        self.wheel.drop(out, out.slot)
+        self.links[out.node].give_up(out, Outcome.CANCELLED)
+
+    def answer_ok(self, held: Held, out: Out) -> None:
+        assert held.ask is not None
+        body = held.body if isinstance(held.ask, ReadRpc) else None
+        self._answer(held, Ok(held.ask.id, out.node.shard), body)
+
+    def answer_rejected(self, held: Held, come_back_ms: float) -> None:
+        assert held.ask is not None
+        reason = ""
+        if held.workload is None:
+            reason = f"unknown workload '{held.ask.workload}'"
+        elif held.plan is None:
+            reason = f"unknown volume '{held.volume}'"
+        self._answer(held, Rejected(held.ask.id, come_back_ms, reason))
+
+    def answer_errored(self, held: Held) -> None:
+        last = held.sends[-1].outcome if held.sends else None
+        self._answer(held, Errored(0, f"last send: {last.value}" if last else ""))
+
+    def _answer(self, held: Held, message: Ok | Rejected | Errored, body: Any = None) -> None:
+        assert held.ask is not None and held.session is not None
+        self.held.pop(held, None)
+        message.id = held.ask.id
+        held.session.answer(held, message, body)
+        held.body = None
+        self._look_done()
+
+    def ask_list(self, push: bool) -> None:
+        self.follower.ask(push)
+
+
+async def serve(gateway: Gateway, started: Callable[[int], None] | None = None) -> int:
+    """Run until told to leave; gives the exit code: 0 all answered, 70 the module broke, 75 cut short."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.leave)
+    port = await gateway.start()
+    if started is not None:
+        started(port)
+    code = await gateway.done
+    await asyncio.sleep(0)  # connections that close tell so once
+    return code
--- /dev/null
+++ b/cherrygrade/gateway/rounds.py
@@ -0,0 +1,161 @@
+"""Rounds: all that the event loop delivered in one turn becomes one call of the module, and what the module
+wrote is carried out after that call, in order.
+
+`Rounds` is the `Writer`. One clock reading a round; times are the event loop's, in ms.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from cherrygrade.door import Inbox
+from cherrygrade.gateway.held import Held, Out
+from cherrygrade.interface import Node, Outcome, Rpc, Send
+from cherrygrade.policy import Dispatcher
+
+
+class Carrier(Protocol):
+    """Who carries out what was decided."""
+
+    def carry(self, out: Out, limit_ms: float) -> None: ...
+
+    def withdraw(self, out: Out) -> None: ...
+
+    def answer_ok(self, held: Held, out: Out) -> None: ...
+
+    def answer_rejected(self, held: Held, come_back_ms: float) -> None: ...
+
+    def answer_errored(self, held: Held) -> None: ...
+
+    def ask_list(self, push: bool) -> None: ...
+
+    def before_round(self, now: float) -> None: ...
+
+
+class Rounds:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        carrier: Carrier,
+        crashed: Callable[[Exception, str], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self.inbox = Inbox()
+        self.now = 0.0
+        self.count = 0
+        self._dispatcher, self._carrier, self._crashed, self._log = dispatcher, carrier, crashed, log
+        self._loop = asyncio.get_running_loop()
+        self._stirred = self._ended = False
+        self._todo: list[tuple[Callable[..., None], tuple[object, ...]]] = []  # emptied by each round
+        self._oks: list[tuple[Held, Out]] = []  # emptied by each round
+
+    def clock(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def stir(self) -> None:
+        """Something came in: a round runs once the event loop has delivered what else it holds."""
+        if not (self._stirred or self._ended):
+            self._stirred = True
+            self._loop.call_soon(self._round)
+
+    def end(self) -> None:
+        self._ended = True
+
+    def take(self, held: Held) -> None:
+        self.inbox.taken.append(held)
+        self.stir()
+
+    def leave(self, held: Held) -> None:
+        """The client does not want the answer any more."""
+        if not held.over:
+            held.over = True
+            self.inbox.left.append(held)
+            self.stir()
+
+    def outcome(self, out: Out, outcome: Outcome, body: bytearray | memoryview | None = None) -> None:
+        """A send ended. The first word counts; the caller has let go of it everywhere else."""
+        if out.outcome is not None:
+            return
+        held, now = out.rpc, self.clock()
+        assert isinstance(held, Held)
+        out.took_ms = now - out.sent_ms
+        if outcome is Outcome.OK and not held.over:
+            if now >= held.give_up_ms:  # it would come after the client's time is up
+                outcome = Outcome.TIMED_OUT
+            else:
+                held.over = True
+                if body is not None:
+                    held.body = body
+                self._oks.append((held, out))
+        out.outcome = outcome
+        self.inbox.answers.append(out)
+        self.stir()
+
+    def _round(self) -> None:
+        self._stirred = False
+        if self._ended:
+            return
+        self.now = self.clock()
+        self.count += 1
+        self._carrier.before_round(self.now)
+        oks, self._oks = self._oks, []
+        try:
+            self.inbox.decide(self._dispatcher, self.now, self)
+        except Exception as trouble:  # the module's fault: nothing it wrote in this round can be trusted
+            self._ended = True
+            came = self.inbox
+            told = (
+                f"round {self.count} at {self.now:.3f} ms: {len(came.taken)} taken, "
+                f"{len(came.answers)} answers, {len(came.left)} left, {len(came.heard)} heard"
+            )
+            for held, out in oks:
+                self._carrier.answer_ok(held, out)
+            self._crashed(trouble, told)
+            return
+        for held, out in oks:
+            self._carrier.answer_ok(held, out)
+        todo, self._todo = self._todo, []
+        for act, parts in todo:
+            act(*parts)
+
+    # The writer.
+
+    def send(self, rpc: Rpc, node: Node, limit_ms: float) -> Send:
+        out = Out(rpc=rpc, node=node, number=len(rpc.sends), sent_ms=self.now)
+        rpc.sends.append(out)
+        self._todo.append((self._carrier.carry, (out, limit_ms)))
+        return out
+
+    def cancel(self, send: Send) -> None:
+        self._todo.append((self._carrier.withdraw, (send,)))
+
+    def reject(self, rpc: Rpc, come_back_ms: float) -> None:
+        rpc.over = True
+        self._todo.append((self._carrier.answer_rejected, (rpc, come_back_ms)))
+
+    def error(self, rpc: Rpc) -> None:
+        rpc.over = True
+        self._todo.append((self._carrier.answer_errored, (rpc,)))
+
+    def wake(self, after_ms: float) -> None:
+        self._loop.call_later(after_ms / 1000.0, self.stir)
+
+    def subscribe(self) -> None:
+        self._todo.append((self._carrier.ask_list, (True,)))
+
+    def fetch(self) -> None:
+        self._todo.append((self._carrier.ask_list, (False,)))
+
+    def probe(self, node: Node) -> None:
+        self._log(f"probe of {node.address} passed over: this gateway has none")
+
+    def release(self, node: Node) -> None:
+        self._log(f"release of {node.address} passed over: idle connections close by themselves")
+
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        self._log("word to other dispatchers passed over: they share nothing")
+
+    def log(self, text: str) -> None:
+        self._log(text)
--- /dev/null
+++ b/cherrygrade/site.py
@@ -0,0 +1,93 @@
+"""What a site tells a dispatcher at its start, in parts; each part of the program takes only its own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cherrygrade.interface import ColdStart, Earnings, Permits, Plan, ResendBudget, Workload
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Who this dispatcher is: addresses are host:port, number counts from 0 among `dispatchers`."""
+
+    name: str
+    listen: str
+    register: str
+    number: int
+    dispatchers: int
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Volume:
+    """A volume's plan, and through how many dispatchers it comes."""
+
+    plan: Plan
+    hosts: int
+
+
+@dataclass(frozen=True, slots=True)
+class Measure:
+    """Units of an RPC from the bytes that it moves."""
+
+    bytes_per_unit: float
+    least_units: float
+
+    def units(self, length: int) -> float:
+        return max(self.least_units, length / self.bytes_per_unit)
+
+
+@dataclass(frozen=True, slots=True)
+class Trade:
+    """What is traded here: workloads, plans and volumes by name, and how units are counted."""
+
+    workloads: dict[str, Workload]
+    volumes: dict[str, Volume]
+    measure: Measure
+
+
+@dataclass(frozen=True, slots=True)
+class Bearings:
+    """What the module is told besides workloads."""
+
+    earnings: Earnings = field(default_factory=Earnings)
+    cold: ColdStart = field(default_factory=ColdStart)
+    budget: ResendBudget | None = None
+    permits: Permits = field(default_factory=Permits)
+    key_rest_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How much a dispatcher takes on. Times in ms, bodies in bytes.
+
+    `answer_ms` is kept back from each client's time for the answer's way.
+    """
+
+    most_held: int = 4096
+    most_open: int = 1024
+    most_clients: int = 1024
+    most_body: int = 16 * 1024 * 1024
+    hello_ms: float = 2000.0
+    answer_ms: float = 25.0
+    leave_ms: float = 10000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Lines:
+    """Connections to each storage node."""
+
+    most: int = 4
+    streams: int = 32
+    connect_ms: float = 250.0
+    idle_ms: float = 15000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    place: Place
+    trade: Trade
+    bearings: Bearings
+    bounds: Bounds
+    lines: Lines
--- /dev/null
+++ b/cherrygrade/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections that carry frames over sockets; they decide nothing."""
--- /dev/null
+++ b/cherrygrade/transport/connection.py
@@ -0,0 +1,182 @@
+"""One connection that carries frames, on asyncio's BufferedProtocol.
+
+Bodies are received straight into the place their owner gives. On the write side at most one chunk stands in
+the event loop's own buffer; the rest waits here as it was handed over, uncopied, until the socket takes more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any, Protocol
+
+from cherrygrade.wire.frames import FrameReader, ProtocolError, encode
+from cherrygrade.wire.messages import Bye, Message
+
+Bytes = bytes | bytearray | memoryview
+CHUNK = 256 * 1024  # of a large body handed to the socket at once
+SMALL = 16 * 1024  # pieces under this are joined into one write
+
+
+class Owner(Protocol):
+    """Who is told of what a connection brings."""
+
+    def connected(self, conn: Connection) -> None: ...
+
+    def room(self, conn: Connection, message: Any, length: int) -> bytearray | memoryview | None: ...
+
+    def frame(self, conn: Connection, message: Any, body: bytearray | memoryview | None) -> None: ...
+
+    def writable(self, conn: Connection) -> None: ...
+
+    def closed(self, conn: Connection, why: str) -> None: ...
+
+
+class Connection(asyncio.BufferedProtocol):
+    """`closed` is told exactly once to the owner, whatever ended it; nothing is told after it."""
+
+    def __init__(self, owner: Owner, most_body: int, high: int = 1024 * 1024, low: int = 256 * 1024) -> None:
+        self.owner, self.high, self.low = owner, high, low
+        self.peer = ""
+        self.waiting = 0  # bytes handed over and not yet taken by the socket
+        self.open = False
+        self._reader = FrameReader(self._room, self._frame, most_body)
+        self._pieces: deque[bytes | bytearray | memoryview] = deque()
+        self._transport: asyncio.Transport | None = None
+        self._paused = self._full = self._flushing = self._closing = False
+        self._why = ""
+
+    # What the event loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport, self.open = transport, True
+        transport.set_write_buffer_limits(high=0)
+        name = transport.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if name else "?"
+        self.owner.connected(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._reader.place()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self._closing:
+            return
+        try:
+            self._reader.filled(nbytes)
+        except ProtocolError as trouble:
+            self.close(str(trouble))
+
+    def eof_received(self) -> bool:
+        # A peer that will not read our answers either, or may: which one, only closing tells. Half-closed
+        # peers keep no RPC alive.
+        self._why = self._why or ("peer closed" if self._reader.idle else "peer closed within a frame")
+        return False
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.open = False
+        self._pieces.clear()
+        self.waiting = 0
+        self.owner.closed(self, self._why or (str(exc) if exc else "peer closed"))
+
+    # What the owner calls.
+
+    @property
+    def full(self) -> bool:
+        """More waits for the peer than the high mark; `writable` is told once it is under the low one."""
+        return self._full
+
+    def send(self, message: Message, body: Bytes | None = None, flags: int = 0) -> None:
+        """Hand a frame over; it goes out with what else this turn of the event loop hands over."""
+        if not self.open or self._closing:
+            return
+        length = 0 if body is None else len(body)
+        head = encode(message, length, flags)
+        self._pieces.append(head)
+        self.waiting += len(head) + length
+        if length:
+            assert body is not None
+            self._pieces.append(body)
+        if self.waiting > self.high:
+            self._full = True
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def send_raw(self, some: bytes) -> None:
+        """Bytes as they are: for stand-ins that break off, or trickle, a frame."""
+        if self.open and not self._closing:
+            self._pieces.append(some)
+            self.waiting += len(some)
+            self._flush()
+
+    def flush(self) -> None:
+        """Hand to the socket now what waits, as far as it takes it."""
+        self._flush()
+
+    def close(self, reason: str, come_back_ms: float = 0.0) -> None:
+        """Tell the peer why, as far as the socket takes it, and close; nothing more is read."""
+        if not self.open or self._closing:
+            return
+        self.send(Bye(reason[:1000], come_back_ms))
+        self._flush()
+        self._closing, self._why = True, reason
+        if self._transport is not None:
+            if self._pieces:  # the peer does not read: what waits would wait for good
+                self._transport.abort()
+            else:
+                self._transport.close()
+
+    def abort(self, why: str) -> None:
+        """Drop the connection as if its line were cut."""
+        self._why, self._closing = self._why or why, True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def hold_reading(self, hold: bool) -> None:
+        """Read nothing more until told otherwise."""
+        if self._transport is None or not self.open:
+            return
+        if hold and self._transport.is_reading():
+            self._transport.pause_reading()
+        elif not hold and not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def _room(self, message: Any, length: int) -> bytearray | memoryview | None:
+        return self.owner.room(self, message, length)
+
+    def _frame(self, message: Any, body: bytearray | memoryview | None) -> None:
+        if not self._closing:
+            self.owner.frame(self, message, body)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        pieces, transport = self._pieces, self._transport
+        if transport is None or not self.open:
+            return
+        while pieces and not self._paused:
+            if len(pieces[0]) >= SMALL:
+                piece = memoryview(pieces.popleft())
+                if len(piece) > CHUNK:
+                    pieces.appendleft(piece[CHUNK:])
+                    piece = piece[:CHUNK]
+                self.waiting -= len(piece)
+                transport.write(piece)
+                continue
+            small = [pieces.popleft()]
+            size = len(small[0])
+            while pieces and len(pieces[0]) < SMALL and size < CHUNK:
+                size += len(pieces[0])
+                small.append(pieces.popleft())
+            self.waiting -= size
+            transport.write(b"".join(small) if len(small) > 1 else small[0])
+        if self._full and self.waiting <= self.low:
+            self._full = False
+            self.owner.writable(self)
--- /dev/null
+++ b/cherrygrade/wire/frames.py
@@ -0,0 +1,144 @@
+"""Frames: eight bytes of head, a MessagePack header, a raw body (docs/protocol.md, 'Frames').
+
+`FrameReader` is fed by whoever owns the bytes: it lends the place where the next bytes belong and is told
+how many were put there. A body is received straight into the place that its owner gave for it.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from cherrygrade.wire.messages import KINDS, Message
+
+HEAD = struct.Struct(">BBHI")  # kind, flags, header's length, body's length
+MAY_PASS = 1  # flag: a reader that does not know this kind passes it over
+MOST_HEADER = 4096
+SCRATCH = 64 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders = {kind: msgspec.msgpack.Decoder(made) for kind, made in KINDS.items()}
+_numbers = {made: kind for kind, made in KINDS.items()}
+
+
+class ProtocolError(Exception):
+    """The peer broke the protocol and the boundary of frames is lost, or cannot be trusted any more."""
+
+
+def encode(message: Message, body_length: int = 0, flags: int = 0) -> bytes:
+    """Head and header of one frame; the body, of the stated bytes, is written behind it by the caller."""
+    header = _encoder.encode(message)
+    if len(header) > MOST_HEADER:
+        raise ProtocolError(f"a header of {len(header)} bytes; at most {MOST_HEADER}")
+    return HEAD.pack(_numbers[type(message)], flags, len(header), body_length) + header
+
+
+Room = Callable[[Any, int], "bytearray | memoryview | None"]
+Taker = Callable[[Any, "bytearray | memoryview | None"], None]
+
+
+class FrameReader:
+    """Cuts a stream of bytes into messages and bodies.
+
+    `room(message, length)` gives the place for a body, or None to have it read off and dropped;
+    `taker(message, body)` gets each whole frame. Memory is bounded by one scratch page and one body.
+    Raises ProtocolError out of `filled`; after that the reader must not be used again.
+    """
+
+    def __init__(self, room: Room, taker: Taker, most_body: int) -> None:
+        self.most_body = most_body
+        self._room, self._taker = room, taker
+        self._scratch = bytearray(SCRATCH)
+        self._view = memoryview(self._scratch)
+        self._start = self._end = 0  # unread bytes in the scratch page
+        self._message: Any = None  # its body is under way
+        self._body: bytearray | memoryview | None = None
+        self._body_view: memoryview | None = None
+        self._wanted = self._got = 0
+        self.idle = True  # stands at a boundary of frames
+
+    def place(self) -> memoryview:
+        """Where the next bytes belong; never empty."""
+        if self._message is not None:
+            left = self._wanted - self._got
+            if self._body_view is not None:
+                return self._body_view[self._got :]
+            return self._view[: min(left, SCRATCH)]  # dropped
+        return self._view[self._end :]
+
+    def filled(self, count: int) -> None:
+        """Bytes were put at the place last lent."""
+        if self._message is not None:
+            self._got += count
+            if self._got == self._wanted:
+                self._whole()
+            return
+        self._end += count
+        self._cut()
+
+    def _whole(self) -> None:
+        message, body = self._message, self._body
+        self._message = self._body = self._body_view = None
+        self.idle = True
+        self._taker(message, body)
+
+    def _cut(self) -> None:
+        scratch, start, end = self._scratch, self._start, self._end
+        while end - start >= HEAD.size:
+            kind, flags, header_length, body_length = HEAD.unpack_from(scratch, start)
+            if header_length > MOST_HEADER:
+                raise ProtocolError(f"a header of {header_length} bytes; at most {MOST_HEADER}")
+            if body_length > self.most_body:
+                raise ProtocolError(f"a body of {body_length} bytes; at most {self.most_body}")
+            body_at = start + HEAD.size + header_length
+            if body_at > end:
+                break
+            message = self._decode(kind, flags, self._view[start + HEAD.size : body_at])
+            start = body_at
+            if not body_length:
+                if message is not None:
+                    self._taker(message, None)
+                continue
+            here = min(body_length, end - start)
+            body = None if message is None else self._room(message, body_length)
+            view = None if body is None else memoryview(body)
+            if view is not None:
+                view[:here] = self._view[start : start + here]
+            start += here
+            self._message, self._body, self._body_view = message or _PASSED, body, view
+            self._wanted, self._got = body_length, here
+            if here == body_length:
+                self._whole()
+            else:
+                self.idle = False
+                self._start = self._end = 0
+                return
+        if start == end:
+            start = end = 0
+        elif start:
+            # The start of a frame whose rest is to come moves to the page's front: a head and header at most.
+            self._view[: end - start] = bytes(self._view[start:end])
+            start, end = 0, end - start
+        self.idle = start == end
+        self._start, self._end = start, end
+
+    def _decode(self, kind: int, flags: int, header: memoryview) -> Any:
+        decoder = _decoders.get(kind)
+        if decoder is None:
+            if flags & MAY_PASS:
+                return None
+            raise ProtocolError(f"unknown kind of frame {kind}")
+        try:
+            return decoder.decode(header)
+        except msgspec.MsgspecError as trouble:
+            raise ProtocolError(f"header of kind {kind}: {trouble}") from trouble
+
+
+class _Passed:
+    """Stands for a message of an unknown kind while its body is read off."""
+
+
+_PASSED = _Passed()
--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TextIO
 
-from cherrygrade.interface import Node, Rpc, Send, Standing
+from cherrygrade.door import Inbox, Nodes
+from cherrygrade.interface import Node, Rpc, Send
 from cherrygrade.policy import Dispatcher
 from cherrygrade.wirehost.codec import (
     OUTCOMES,
@@ -88,25 +89,15 @@
     dispatcher: Dispatcher
     pairs: StartPairs
     rpcs: dict[str, Rpc] = field(default_factory=dict)
-    nodes: dict[str, Node] = field(default_factory=dict)
-    listed: set[str] = field(default_factory=set)
+    nodes: Nodes = field(default_factory=Nodes)
+    inbox: Inbox = field(default_factory=Inbox)
+    touched: set[str] = field(default_factory=set)
     stirred: bool = False
     """Something came in for it in the open batch."""
 
     def __post_init__(self) -> None:
         self.workloads = self.pairs.workloads()
         self.plans = self.pairs.plans()
-        self.clear()
-
-    def clear(self) -> None:
-        self.taken: list[Rpc] = []
-        self.answers: list[Send] = []
-        self.begun: list[Send] = []
-        self.left: list[Rpc] = []
-        self.heard: list[Node] = []
-        self.probed: list[tuple[Node, bool, float, dict[str, float]]] = []
-        self.list_answered: bool | None = None
-        self.touched: set[str] = set()
 
     def forget(self) -> None:
         """Empty the id table of what can no longer be named."""
@@ -117,19 +108,9 @@
         self.writer.ended.clear()
 
     def decide(self, now: float) -> None:
-        self.dispatcher.decide(
-            now,
-            self.writer,
-            taken=self.taken,
-            answers=self.answers,
-            begun=self.begun,
-            left=self.left,
-            heard=self.heard,
-            probed=self.probed,
-            list_answered=self.list_answered,
-        )
+        self.inbox.decide(self.dispatcher, now, self.writer)
         self.forget()
-        self.clear()
+        self.touched.clear()
         self.stirred = False
 
 
@@ -250,7 +231,7 @@
             repeat=flag(repeat),
             id=xid,
         )
-        instance.taken.append(rpc)
+        instance.inbox.taken.append(rpc)
 
     def _completed(self, parts: list[str]) -> None:
         (_, who, xid, _, took, usage, others, terminal, number_, code, telemetry) = parts[:11]
@@ -263,48 +244,41 @@
         send.elsewhere = number(others)
         send.load = load_report(telemetry)
         rpc.over = rpc.over or flag(terminal)
-        instance.answers.append(send)
+        instance.inbox.answers.append(send)
         instance.touched.add(xid)
 
     def _headers(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
-        instance.begun.append(instance.rpcs[parts[2]].sends[int(number(parts[5]))])
+        instance.inbox.begun.append(instance.rpcs[parts[2]].sends[int(number(parts[5]))])
 
     def _left(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
         rpc = instance.rpcs.get(parts[2])
         if rpc is not None and not rpc.over:
             rpc.over = True
-            instance.left.append(rpc)
+            instance.inbox.left.append(rpc)
             instance.touched.add(rpc.id)
 
     def _announce(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
         mode = parts[2]
         if mode == "X":
-            instance.list_answered = False
+            instance.inbox.list_answered = False
             return
         if mode not in ("D", "F", "C"):
             raise ValueError(f"unknown list mode {mode}")
         if mode != "C":
-            instance.list_answered = True
-        named = set()
+            instance.inbox.list_answered = True
+        named = []
         for address, zone, kind, shard, health, size, born in (entry[:7] for entry in self._lists[parts[3]]):
-            node = instance.nodes.setdefault(address, Node(address))
+            node = instance.nodes.node(address)
             node.zone, node.kind, node.shard = zone, kind, int(number(shard))
             node.standing, node.size, node.born_ms = STANDINGS[health], number(size), ms(born)
-            instance.heard.append(node)
-            named.add(address)
-        if mode == "D":
-            instance.listed |= named
-            return
-        for address in sorted(instance.listed - named):
-            instance.nodes[address].standing = Standing.GONE
-            instance.heard.append(instance.nodes[address])
-        instance.listed = named
+            named.append(node)
+        instance.inbox.heard += instance.nodes.told(named, whole=mode != "D")
 
     def _sampled(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
-        node = instance.nodes.get(parts[2])
+        node = instance.nodes.by_address.get(parts[2])
         if node is not None:
-            instance.probed.append((node, parts[3] == "200", ms(parts[4]), load_report(parts[5])))
+            instance.inbox.probed.append((node, parts[3] == "200", ms(parts[4]), load_report(parts[5])))
--- /dev/null
+++ b/tests/house.py
@@ -0,0 +1,115 @@
+"""One machine's loopback: a register, nodes, a dispatcher and a client in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from cherrygrade.client import Client
+from cherrygrade.gateway.process import Gateway
+from cherrygrade.interface import ColdStart, Earnings, Effect, Permits, Plan, ResendBudget, Workload
+from cherrygrade.site import Bearings, Bounds, Lines, Measure, Place, Trade, Volume
+from cherrygrade.standin.node import Build, Node
+from cherrygrade.standin.register import Register
+
+READ = Workload("read", 200.0, 1500.0, 3.0)
+WRITE = Workload("write", 300.0, 1500.0, 3.0, writes=True)
+EXPORT = Workload("export", 1500.0, 5000.0, 1.0)
+ONCE = Workload("once", 900.0, 1500.0, 3.0, effect=Effect.NON_IDEMPOTENT, writes=True)
+MARKED = Workload("marked", 900.0, 1500.0, 3.0, effect=Effect.TOKENED, token_ms=5000.0, writes=True)
+ORDERED = Workload("ordered", 900.0, 1500.0, 3.0, in_order=True, writes=True)
+PLAN = Plan("plan", usual_rate=1000.0)
+TRADE = Trade(
+    {w.name: w for w in (READ, WRITE, EXPORT, ONCE, MARKED, ORDERED)},
+    {"v": Volume(PLAN, 1)},
+    Measure(4096.0, 1.0),
+)
+PERMITS = Permits(most_sends=4, cancel=True, come_back_ms=500.0)
+
+
+class House:
+    def __init__(self) -> None:
+        self.nodes: list[Node] = []
+        self.register = Register("127.0.0.1:0")
+        self.gateways: list[Gateway] = []
+        self.clients: list[Client] = []
+        self.logs: list[tuple[str, dict[str, Any]]] = []
+
+    async def node(
+        self, shard: int = 0, build: Build | None = None, zone: str = "z", *, listed: bool = True
+    ) -> Node:
+        node = Node("127.0.0.1:0", build or Build(unit_ms=1.0, put_off=0.0))
+        await node.start()
+        self.nodes.append(node)
+        if listed:
+            self.register.set(node.address, zone, shard, "live", 1, 1e6)
+        return node
+
+    def list(self, node: Node, standing: str) -> None:
+        self.register.set(node.address, "", -1, standing, node.starts, 0.0)
+
+    async def gateway(
+        self, *, bounds: Bounds | None = None, lines: Lines | None = None, **more: Any
+    ) -> Gateway:
+        if self.register.address.endswith(":0"):
+            await self.register.start()
+        number, dispatchers = more.get("number", 0), more.get("dispatchers", 1)
+        budget: ResendBudget | None = more.get("budget")
+        gateway = Gateway(
+            Place(
+                f"d{number}",
+                "127.0.0.1:0",
+                more.get("register", self.register.address),
+                number,
+                dispatchers,
+                7 + number,
+            ),
+            more.get("trade", TRADE),
+            Bearings(
+                Earnings(in_share=0.5, beyond=0.1, largest_units=4.0),
+                more.get("cold", ColdStart()),
+                budget,
+                more.get("permits", PERMITS),
+                100.0,
+            ),
+            bounds or Bounds(),
+            lines or Lines(),
+            lambda event, **facts: self.logs.append((event, facts)),
+            **({"make": more["make"]} if "make" in more else {}),
+        )
+        port = await gateway.start()
+        gateway.address = f"127.0.0.1:{port}"  # type: ignore[attr-defined]
+        self.gateways.append(gateway)
+        if more.get("listed", True):
+            while self.nodes and not gateway.nodes.by_address:
+                await asyncio.sleep(0.005)
+        return gateway
+
+    def client(self, gateway: Gateway, name: str = "c") -> Client:
+        client = Client(gateway.address, name)  # type: ignore[attr-defined]
+        self.clients.append(client)
+        return client
+
+    async def close(self) -> None:
+        for client in self.clients:
+            client.close()
+        for gateway in self.gateways:
+            gateway._end(0)
+        for node in self.nodes:
+            node.close()
+        self.register.close()
+        await asyncio.sleep(0.01)
+
+
+def run(story: Callable[[House], Coroutine[Any, Any, None]]) -> None:
+    """Play a story in a house of its own, within ten seconds."""
+
+    async def play() -> None:
+        house = House()
+        try:
+            await asyncio.wait_for(story(house), 10.0)
+        finally:
+            await house.close()
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_thin_path.py
@@ -0,0 +1,32 @@
+"""One client, one dispatcher, one node: bytes there and back through the module."""
+
+from __future__ import annotations
+
+from house import House, run
+
+from cherrygrade.client import Ok, Rejected
+
+
+def test_a_write_and_a_read_come_through_the_module():
+    async def story(house: House) -> None:
+        node = await house.node(shard=3)
+        client = house.client(await house.gateway())
+        wrote = await client.write("write", "v", "seatmap", b"x" * 5000, shard=-1, deadline_ms=1500)
+        assert wrote == Ok(b"", 3)
+        read = await client.read("read", "v", "seatmap", shard=3, offset=4990, length=20, deadline_ms=1500)
+        assert isinstance(read, Ok) and bytes(read.body) == b"x" * 10 + bytes(10)
+        assert bytes(node.bytes[("v", "seatmap")]) == b"x" * 5000
+
+    run(story)
+
+
+def test_what_the_settings_do_not_know_is_rejected_with_its_name():
+    async def story(house: House) -> None:
+        await house.node()
+        client = house.client(await house.gateway())
+        answer = await client.read("nonesuch", "v", "k", shard=0, length=1, deadline_ms=500)
+        assert isinstance(answer, Rejected) and "nonesuch" in answer.reason
+        answer = await client.read("read", "w", "k", shard=0, length=1, deadline_ms=500)
+        assert isinstance(answer, Rejected) and "'w'" in answer.reason
+
+    run(story)
