Settings as typed records: a CUE-like grammar, unification, every error with its place

Change: records/ (lark grammar, lattice free of I/O, schema site.rec, frozen types), cli with serve, check, show.

--- /dev/null
+++ b/cherrygrade/__main__.py
@@ -0,0 +1,3 @@
+from cherrygrade.cli import main
+
+main()
--- /dev/null
+++ b/cherrygrade/records/load.py
@@ -0,0 +1,90 @@
+"""Records from files, held against a schema that ships with the program, as frozen types."""
+
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from cherrygrade.records.grammar import RecordSyntaxError, parse
+from cherrygrade.records.lattice import Vertex, unify
+from cherrygrade.site import Bearings, Bounds, Lines, Measure, Place, Site, Trade, Volume
+
+T = TypeVar("T")
+
+
+class RecordError(Exception):
+    """Settings that are wrong; `faults` holds every error, a line each."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+def read_vertex(path: Path, schema: str, extra: str = "") -> Vertex:
+    """The file's record and its schema as one. Extra is more text, as if it stood in the file."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as trouble:
+        raise RecordError([f"{path}: {trouble}"]) from trouble
+    try:
+        ours = parse(resources.files("cherrygrade.records").joinpath(schema).read_text(), schema)
+        trees = [ours, parse(text, str(path))]
+        if extra:
+            trees.append(parse(extra, "given"))
+    except RecordSyntaxError as trouble:
+        raise RecordError([str(trouble)]) from trouble
+    return unify(trees, closed=True)
+
+
+def plain(vertex: Vertex) -> Any:
+    """The record's value. Raises RecordError with all that is wrong or lacking."""
+    faults = list(vertex.all_faults())
+    value, lacking = vertex.export()
+    wrong = {fault.path for fault in faults}
+    faults += [fault for fault in lacking if fault.path not in wrong]
+    found = list(dict.fromkeys(str(fault) for fault in faults))
+    if found:
+        raise RecordError(found)
+    return value
+
+
+def convert(value: Any, made: type[T]) -> T:
+    """A frozen type from a checked value."""
+    try:
+        return msgspec.convert(value, made)
+    except msgspec.ValidationError as trouble:  # the schema and the type disagree: a bug of ours
+        raise RecordError([f"{made.__name__}: {trouble}"]) from trouble
+
+
+class _SiteRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    place: Place
+    workloads: dict[str, Any]
+    plans: dict[str, Any]
+    volumes: dict[str, Volume]
+    measure: Measure
+    earnings: Any
+    cold: Any
+    permits: Any
+    key_rest_ms: float
+    bounds: Bounds
+    lines: Lines
+    budget: Any = None
+
+
+def site_from(value: dict[str, Any]) -> Site:
+    """The parts of a site from a checked record."""
+    record = convert({"workloads": {}, "plans": {}, "volumes": {}, **value}, _SiteRecord)
+    given = {name: value[name] for name in ("earnings", "cold", "budget", "permits") if name in value}
+    trade = convert(
+        {"workloads": record.workloads, "volumes": record.volumes, "measure": record.measure}, Trade
+    )
+    bearings = convert({**given, "key_rest_ms": record.key_rest_ms}, Bearings)
+    return Site(record.place, trade, bearings, record.bounds, record.lines)
+
+
+def read_site(path: Path, extra: str = "") -> Site:
+    """A dispatcher's settings. Raises RecordError with every error at once."""
+    return site_from(plain(read_vertex(path, "site.rec", extra)))
