--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -97,6 +97,109 @@
     return 0
 
 
+@standin.command(name="node")
+def standin_node(
+    *,
+    listen: str = "127.0.0.1:0",
+    control: str = "127.0.0.1:0",
+    build: str = "{}",
+    seed: int = 0,
+    record: Path | None = None,
+) -> None:
+    """Run a storage node's stand-in; prints its port and its control port.
+
+    Parameters
+    ----------
+    build
+        The machine, as JSON: cores, unit_ms, queue, put_off, cold_share, warm_ms and more.
+    record
+        File for what passes on its sockets.
+    """
+    import msgspec
+
+    from cherrygrade.lab.roles import run_node
+    from cherrygrade.standin.node import Build
+
+    try:
+        made = msgspec.convert(json.loads(build), Build, strict=False)
+    except (ValueError, msgspec.ValidationError) as trouble:
+        print(f"--build: {trouble}", file=sys.stderr)
+        sys.exit(2)
+    asyncio.run(run_node(listen, control, made, seed, record))
+
+
+@standin.command(name="register")
+def standin_register(
+    *, listen: str = "127.0.0.1:0", control: str = "127.0.0.1:0", record: Path | None = None
+) -> None:
+    """Run the register's stand-in; prints its port and its control port."""
+    from cherrygrade.lab.roles import run_register
+
+    asyncio.run(run_register(listen, control, record))
+
+
+@lab.command(name="run")
+def lab_run(
+    scenario: Path,
+    *,
+    folder: Path = Path("build/lab"),
+    seed: int | None = None,
+    given: Given = (),
+    quiet: bool = False,
+) -> int:
+    """Play a scenario on loopback with real processes, audit it, and show what it came to.
+
+    Exit code 0 only if every rule held. Records, logs and report.json stay in FOLDER.
+    """
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+    from cherrygrade.lab.run import play
+
+    text = "\n".join([*given, *([f"seed: {seed}"] if seed is not None else [])])
+    columns = (TextColumn("{task.description:10}"), BarColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=Console(stderr=True), disable=quiet) as progress:
+        bar = progress.add_task("processes", total=1.0)
+        try:
+            play(
+                scenario,
+                folder,
+                text,
+                told=lambda what, part: progress.update(bar, description=what, completed=part),
+            )
+        except RecordError as trouble:
+            print(trouble, file=sys.stderr)
+            return 2
+        progress.update(bar, description="audit", completed=1.0)
+    return lab_audit(scenario, folder, given=(text,) if text else ())
+
+
+@lab.command(name="audit")
+def lab_audit(scenario: Path, folder: Path, *, given: Given = ()) -> int:
+    """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
+    from rich.console import Console
+
+    from cherrygrade.lab import report
+    from cherrygrade.lab.audit import judge
+    from cherrygrade.lab.scenario import read_scenario
+
+    verdicts, evidence = judge(read_scenario(scenario, "\n".join(given)), folder)
+    report.write(evidence, verdicts, folder)
+    report.show(evidence, verdicts, Console(width=112))
+    print(f"records, logs and report.json: {folder}")
+    return 1 if any(one.broken for one in verdicts) else 0
+
+
+@lab.command(name="load")
+def lab_load(
+    scenario: Path, *addresses: str, index: int = 0, folder: Path = Path("build/lab"), given: Given = ()
+) -> None:
+    """One load process of a day: prepares, says 'ready', waits for 'go TIME' on standard input."""
+    from cherrygrade.lab.load import load
+
+    asyncio.run(load(scenario, "\n".join(given), index, list(addresses), folder))
+
+
 def main() -> None:
     app()
 
--- a/cherrygrade/client/library.py
+++ b/cherrygrade/client/library.py
@@ -64,6 +64,7 @@
         self._task: asyncio.Task[None] | None = None
         self._backoff = Backoff(f"{name}>{address}")
         self._come_from = 0.0
+        self._greeted = 0.0  # when the connection said hello, by the event loop
         self._closed = False
 
     async def __aenter__(self) -> Client:
@@ -86,8 +87,8 @@
     ) -> Answer:
         """`length` bytes from `offset` of the extent `key`, within `deadline_ms` from now."""
 
-        def ask(id_: int, left: float) -> wire.Message:
-            return wire.ReadRpc(id_, workload, volume, key, shard, offset, length, left, repeat)
+        def ask(id_: int, left: float, at: float) -> wire.Message:
+            return wire.ReadRpc(id_, workload, volume, key, shard, offset, length, left, repeat, at)
 
         return await self._run(ask, None, deadline_ms)
 
@@ -107,8 +108,8 @@
     ) -> Answer:
         """Write at `offset`, or behind what is there; shard -1 makes a new object, the answer tells where."""
 
-        def ask(id_: int, left: float) -> wire.Message:
-            return wire.WriteRpc(id_, workload, volume, key, shard, offset, left, repeat, token, append)
+        def ask(id_: int, left: float, at: float) -> wire.Message:
+            return wire.WriteRpc(id_, workload, volume, key, shard, offset, left, repeat, token, append, at)
 
         return await self._run(ask, body, deadline_ms)
 
@@ -121,7 +122,9 @@
             self._conn.close("client closes")
         self._lose("client closed")
 
-    async def _run(self, ask: Callable[[int, float], wire.Message], body: Any, deadline_ms: float) -> Answer:
+    async def _run(
+        self, ask: Callable[[int, float, float], wire.Message], body: Any, deadline_ms: float
+    ) -> Answer:
         loop = asyncio.get_running_loop()
         until = loop.time() + deadline_ms / 1000.0
         try:
@@ -135,7 +138,7 @@
         future: asyncio.Future[Answer] = loop.create_future()
         self._open[id_] = future
         left = (until - loop.time()) * 1000.0
-        message = ask(id_, left)
+        message = ask(id_, left, (loop.time() - self._greeted) * 1000.0)
         if self._told is not None:
             self._told("sent", id_, until=until * 1000.0, message=message, body=body)
         conn.send(message, body)
@@ -187,6 +190,7 @@
     # What the connection tells.
 
     def connected(self, conn: Connection) -> None:
+        self._greeted = asyncio.get_running_loop().time() - 0.001
         conn.send(wire.Hello(wire.VERSION, "client", self.name))
 
     def room(self, conn: Connection, message: Any, length: int) -> bytearray | None:
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -145,6 +145,8 @@
         read = isinstance(ask, ReadRpc)
         length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
         volume = self.trade.volumes.get(ask.volume)
+        now = self.rounds.clock()
+        waited = session.transit.waited(ask.at_ms, now)
         held = Held(
             workload=self.trade.workloads.get(ask.workload),
             plan=volume.plan if volume else None,
@@ -153,7 +155,7 @@
             key=ask.key,
             shard=ask.shard,
             units=self.trade.measure.units(length),
-            give_up_ms=self.rounds.clock() + min(ask.left_ms, 1e7) - self.bounds.answer_ms,
+            give_up_ms=now + min(ask.left_ms, 1e7) - waited - self.bounds.answer_ms,
             writes=not read,
             repeat=ask.repeat,
             id=f"{session.name}:{ask.id}",
--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cherrygrade.gateway.held import Held
+from cherrygrade.gateway.transit import Transit
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import (
     VERSION,
@@ -32,6 +33,7 @@
         self.conn = Connection(self, gateway.most_body)
         self.name = ""
         self.rpcs: dict[int, Held] = {}
+        self.transit = Transit()
         self._greeting: asyncio.TimerHandle | None = None
 
     def connected(self, conn: Connection) -> None:
--- /dev/null
+++ b/cherrygrade/lab/run.py
@@ -0,0 +1,299 @@
+"""Plays a scenario with real processes on loopback: register, nodes, dispatchers, load, and its troubles.
+
+The laboratory ends only processes that it started itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from cherrygrade.lab.scenario import Scenario, Trouble, read_scenario, write_site
+from cherrygrade.standin.control import Controller
+from cherrygrade.standin.record import Record
+
+ON_NODES = frozenset(
+    {"crash", "silent", "refuse", "resets", "slow", "still", "errors", "trickle", "drain", "move"}
+)
+ON_REGISTER = frozenset({"lag", "past", "quiet", "drop"})
+ON_DISPATCHERS = frozenset({"stop", "kill", "leave"})
+DRAIN_MS = 800.0  # from being listed as draining to dying, where the trouble does not say
+
+
+class Child:
+    """One process, its ports as it told them, its log in the day's folder."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.folder = name, folder
+        self.ports: list[int] = []
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, *parts: str, wait: str = "listening") -> Child:
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *parts,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
+        await self.said(wait)
+        return self
+
+    async def said(self, word: str) -> None:
+        assert self.process is not None and self.process.stdout is not None
+        while True:
+            line = (await self.process.stdout.readline()).decode()
+            if not line:
+                raise RuntimeError(
+                    f"{self.name} ended at its start; see {self.folder / (self.name + '.log')}"
+                )
+            if line.startswith(word):
+                self.ports = [int(part) for part in line.split()[1:] if part.isdigit()]
+                return
+
+    def send_signal(self, number: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: int = signal.SIGTERM, patience_s: float = 15.0) -> int:
+        """Signal it and wait; a process that does not end is killed. Gives its exit code."""
+        if self.process is None:
+            return 0
+        self.send_signal(number)
+        try:
+            async with asyncio.timeout(patience_s):
+                return await self.process.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            return await self.process.wait()
+
+
+class Day:
+    def __init__(
+        self,
+        scenario: Scenario,
+        file: Path,
+        given: str,
+        folder: Path,
+        program: Sequence[str],
+        told: Callable[[str, float], None],
+    ) -> None:
+        self.scenario, self.file, self.given, self.folder = scenario, file, given, folder
+        self.program, self.told = [*program], told
+        self.note = Record(folder / "day.jsonl")
+        self.nodes: list[tuple[Child, Controller]] = []
+        self.dispatchers: list[Child] = []
+        self.lives: list[int] = [1] * scenario.dispatchers
+        self.addresses: list[str] = []  # of nodes, as they are now
+        self.starts: list[int] = []
+        self.codes: list[list[object]] = []
+        self.register = Child("register", folder)
+        self.listed = Controller("")
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time() * 1000.0
+
+    async def play(self) -> None:
+        loads: list[Child] = []
+        try:
+            await self._start()
+            for index in range(self.scenario.loaders):
+                loads.append(Child(f"load-{index}", self.folder))
+            addresses = [f"127.0.0.1:{child.ports[0]}" for child in self.dispatchers]
+            await asyncio.gather(
+                *(
+                    child.start(
+                        "cherrygrade",
+                        "lab",
+                        "load",
+                        str(self.file),
+                        "--index",
+                        str(index),
+                        "--folder",
+                        str(self.folder),
+                        *(["--with", self.given] if self.given else []),
+                        *addresses,
+                        wait="ready",
+                    )
+                    for index, child in enumerate(loads)
+                )
+            )
+            start = self.now() + 200.0
+            self.note.note("day", round(start, 3))
+            for child in loads:
+                assert child.process is not None and child.process.stdin is not None
+                child.process.stdin.write(f"go {start}\n".encode())
+            troubles = asyncio.gather(*(self._trouble(trouble, start) for trouble in self.scenario.troubles))
+            ends = asyncio.gather(*(child.process.wait() for child in loads if child.process))
+            while not ends.done():
+                await asyncio.wait([ends], timeout=0.25)
+                self.told("day", min(1.0, (self.now() - start) / self.scenario.length_ms))
+            await troubles
+            if any(ends.result()):
+                raise RuntimeError(f"a load process failed; see {self.folder}")
+        finally:
+            await self._end(loads)
+
+    async def _start(self) -> None:
+        scenario, folder = self.scenario, self.folder
+        self.told("processes", 0.0)
+        await self.register.start(
+            "cherrygrade", "standin", "register", "--record", str(folder / "register.jsonl")
+        )
+        self.listed = Controller(f"127.0.0.1:{self.register.ports[1]}")
+        await self.listed.connect()
+
+        async def node(index: int) -> tuple[Child, Controller]:
+            child = Child(f"node-{index}", folder)
+            build = json.dumps(
+                {
+                    name: getattr(scenario.nodes[index].build, name)
+                    for name in scenario.nodes[index].build.__slots__
+                }
+            )
+            await child.start(
+                "cherrygrade",
+                "standin",
+                "node",
+                "--record",
+                str(folder / f"node-{index}.jsonl"),
+                "--build",
+                build,
+                "--seed",
+                str(scenario.seed * 100 + index),
+            )
+            control = Controller(f"127.0.0.1:{child.ports[1]}")
+            await control.connect()
+            return child, control
+
+        self.nodes = [*await asyncio.gather(*(node(index) for index in range(len(scenario.nodes))))]
+        self.addresses = [f"127.0.0.1:{child.ports[0]}" for child, _ in self.nodes]
+        self.starts = [1] * len(self.nodes)
+        for index in range(len(self.nodes)):
+            await self._list(index, "live", age_ms=1e7)
+        await self.listed.say("lag", value=scenario.lag_ms)
+        self.dispatchers = [Child(f"dispatcher-{number}", folder) for number in range(scenario.dispatchers)]
+        await asyncio.gather(*(self._launch(number) for number in range(scenario.dispatchers)))
+
+    async def _launch(self, number: int) -> None:
+        child = self.dispatchers[number]
+        listen = f"127.0.0.1:{child.ports[0] if child.ports else 0}"
+        file = write_site(
+            self.scenario,
+            self.folder,
+            number,
+            self.lives[number],
+            listen,
+            f"127.0.0.1:{self.register.ports[0]}",
+        )
+        await child.start(*self.program, str(file))
+        self.note.note("life", number, self.lives[number])
+
+    async def _list(self, index: int, standing: str, age_ms: float = 0.0, address: str = "") -> None:
+        await self.listed.say(
+            "set",
+            address=address or self.addresses[index],
+            zone=self.scenario.nodes[index].zone,
+            shard=float(index),
+            standing=standing,
+            start=float(self.starts[index]),
+            age_ms=age_ms,
+        )
+
+    async def _trouble(self, trouble: Trouble, start: float) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep((start + trouble.at_ms) / 1000.0 - loop.time())
+        self.note.note("trouble", trouble.kind, trouble.on, trouble.for_ms, trouble.size)
+        if trouble.kind in ON_NODES:
+            on = trouble.on or range(len(self.nodes))
+            await asyncio.gather(
+                *(self._node_trouble(trouble, index) for index in on if index < len(self.nodes))
+            )
+        elif trouble.kind in ON_REGISTER:
+            command = "silent" if trouble.kind == "quiet" else trouble.kind
+            await self.listed.say(
+                command, value=trouble.size, for_ms=trouble.for_ms, usual=self.scenario.lag_ms
+            )
+        elif trouble.kind in ON_DISPATCHERS:
+            await asyncio.gather(
+                *(
+                    self._dispatcher_trouble(trouble, number)
+                    for number in trouble.on
+                    if number < len(self.dispatchers)
+                )
+            )
+
+    async def _node_trouble(self, trouble: Trouble, index: int) -> None:
+        _, control = self.nodes[index]
+        kind, for_ms = trouble.kind, trouble.for_ms
+        if kind in ("crash", "drain", "move"):
+            if kind != "crash":
+                await self._list(index, "draining")
+                await asyncio.sleep(DRAIN_MS / 1000.0)
+            old = self.addresses[index]
+            await control.say("move" if kind == "move" else "crash")
+            await asyncio.sleep(self.scenario.notice_ms / 1000.0)
+            await self._list(index, "gone", address=old)
+            if kind != "move":
+                await asyncio.sleep(max(0.0, for_ms - self.scenario.notice_ms) / 1000.0)
+                await control.say("start")
+            await asyncio.sleep(0.05)
+            self.addresses[index], start = (await control.say("address")).split()
+            self.starts[index] = int(start)
+            await self._list(index, "live", age_ms=50.0)
+            return
+        command = {"slow": "speed"}.get(kind, kind)
+        value = 1.0 / trouble.size if kind == "slow" else trouble.size
+        await control.say(command, value=value, for_ms=for_ms)
+
+    async def _dispatcher_trouble(self, trouble: Trouble, number: int) -> None:
+        child = self.dispatchers[number]
+        if trouble.kind == "stop":
+            self.note.note("stopped", number)
+            child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(trouble.for_ms / 1000.0)
+            child.send_signal(signal.SIGCONT)
+            self.note.note("continued", number)
+            return
+        if trouble.kind == "kill":
+            self.note.note("killed", number, self.lives[number])
+            code = await child.end(signal.SIGKILL)
+        else:
+            self.note.note("told to leave", number, self.lives[number])
+            code = await child.end(signal.SIGTERM)
+        self.codes.append([child.name, self.lives[number], trouble.kind, code])
+        await asyncio.sleep(trouble.for_ms / 1000.0)
+        self.lives[number] += 1
+        await self._launch(number)
+
+    async def _end(self, loads: list[Child]) -> None:
+        await asyncio.gather(*(child.end(signal.SIGKILL) for child in loads))
+        codes = await asyncio.gather(*(child.end() for child in self.dispatchers))
+        for number, code in enumerate(codes):
+            self.codes.append([f"dispatcher-{number}", self.lives[number], "end", code])
+        await asyncio.gather(*(child.end() for child, _ in self.nodes), self.register.end())
+        self.note.note("codes", self.codes)
+        self.note.flush()
+
+
+def play(
+    file: Path,
+    folder: Path,
+    given: str = "",
+    program: Sequence[str] = ("cherrygrade", "serve"),
+    told: Callable[[str, float], None] = lambda what, part: None,
+) -> Scenario:
+    """Play the day into `folder`. RecordError: a wrong scenario; RuntimeError: it broke off."""
+    scenario = read_scenario(file, given)
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.iterdir():
+        if old.is_file():
+            old.unlink()
+    asyncio.run(Day(scenario, file, given, folder, program, told).play())
+    return scenario
--- a/cherrygrade/records/grammar.py
+++ b/cherrygrade/records/grammar.py
@@ -32,10 +32,12 @@
 ?unary: COMPARE unary -> bound | SIGN unary -> signed | primary
 ?primary: IDENT ("." (IDENT | DEF))* -> ref | DEF ("." IDENT)* -> ref
      | NUMBER -> number | STRING -> string | WORD -> word
-     | "{" [_decls] "}" -> struct | "[" [_elements] "]" -> many
+     | "{" [_decls] "}" -> struct | "[" "]" -> many | "[" expr "]" -> many
+     | "[" element _COMMA [_elements] "]" -> many | "[" rest "]" -> many
      | "(" expr ")" -> paren
 _elements: element (_COMMA element)* _COMMA?
-?element: expr | _DOTS expr? -> rest
+?element: expr | rest
+rest: _DOTS expr?
 WORD.3: /(true|false|null|string|int|number|bool|_)(?![A-Za-z0-9_])/
 DEF: /#[A-Za-z_][A-Za-z0-9_]*/
 IDENT: /[A-Za-z_][A-Za-z0-9_]*/
--- a/cherrygrade/standin/control.py
+++ b/cherrygrade/standin/control.py
@@ -39,6 +39,15 @@
         pass
 
 
+async def open_control(address: str, act: Callable[[str, dict[str, Any]], str | None]) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    return await asyncio.get_running_loop().create_server(lambda: ControlDoor(act).conn, host, int(port))
+
+
+def port_of(server: asyncio.Server | None) -> int:
+    return 0 if server is None else int(server.sockets[0].getsockname()[1])
+
+
 class Controller:
     """The laboratory's side."""
 
--- a/cherrygrade/standin/node.py
+++ b/cherrygrade/standin/node.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cherrygrade.standin.control import ControlDoor
+from cherrygrade.standin.control import open_control, port_of
 from cherrygrade.standin.record import Record
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.frames import encode
@@ -135,6 +135,10 @@
         self.seen: dict[tuple[str, str], float] = {}  # others' units last told to a dispatcher
         self.life = getattr(self, "life", 0) + 1
 
+    @property
+    def control_port(self) -> int:
+        return port_of(self._control)
+
     def now(self) -> float:
         return asyncio.get_running_loop().time() * 1000.0
 
@@ -145,10 +149,7 @@
         await self.open()
         self.born -= self.build.warm_ms
         if control:
-            host, _, port = control.rpartition(":")
-            self._control = await asyncio.get_running_loop().create_server(
-                lambda: ControlDoor(self.act).conn, host, int(port)
-            )
+            self._control = await open_control(control, self.act)
         assert self._server is not None
         return int(self.address.rpartition(":")[2])
 
@@ -161,7 +162,7 @@
             lambda: NodeDoor(self).conn, host, int(port), backlog=512
         )
         self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
-        self.record.note("start", self.starts)
+        self.record.note("start", self.starts, self.address)
 
     def crash(self) -> None:
         """Drop every connection and stop listening; bytes stay."""
@@ -192,6 +193,11 @@
                 loop.call_later(lasting, self.restart)
         elif command == "start":
             self.restart()
+        elif command == "move":
+            # Another machine takes over the bytes: same shard, another address.
+            self.crash()
+            self.address = self.address.rpartition(":")[0] + ":0"
+            self.restart()
         elif command in ("silent", "errors", "trickle", "resets", "speed"):
             usual = {"silent": False, "errors": 0.0, "trickle": 0, "resets": 0, "speed": 1.0}[command]
             setattr(self, command, type(usual)(values.get("value", 1)))
@@ -209,6 +215,8 @@
             self.record.flush()
         elif command == "hash":
             return str(len(self.bytes))
+        elif command == "address":
+            return f"{self.address} {self.starts}"
         else:
             raise ValueError("unknown command")
         return str(self.starts)
@@ -364,7 +372,7 @@
             asyncio.get_running_loop().call_later(0.005, door.conn.abort, "reset amid an answer")
             return
         self.record.note("answer", door.name, send.origin, send.number, code)
-        if self.trickle:
-            door.trickle(encode(answer, len(body or b"")) + (body or b""), self.trickle)
+        if self.trickle or door.drips:  # what drips must end before anything follows it
+            door.trickle(encode(answer, len(body or b"")) + (body or b""), self.trickle or 65536)
         else:
             door.conn.send(answer, body)
--- a/cherrygrade/standin/register.py
+++ b/cherrygrade/standin/register.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from cherrygrade.standin.control import ControlDoor
+from cherrygrade.standin.control import open_control, port_of
 from cherrygrade.standin.record import Record
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import VERSION, Entry, Follow, Hello, Roster, Welcome
@@ -59,10 +59,13 @@
         self._server = await loop.create_server(lambda: RegisterDoor(self).conn, host, int(port))
         self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
         if control:
-            host, _, port = control.rpartition(":")
-            self._control = await loop.create_server(lambda: ControlDoor(self.act).conn, host, int(port))
+            self._control = await open_control(control, self.act)
         return int(self.address.rpartition(":")[2])
 
+    @property
+    def control_port(self) -> int:
+        return port_of(self._control)
+
     def close(self) -> None:
         for server in (self._server, self._control):
             if server is not None:
--- a/cherrygrade/wire/messages.py
+++ b/cherrygrade/wire/messages.py
@@ -63,6 +63,8 @@
     length: Bytes
     left_ms: float
     repeat: bool = False
+    at_ms: float = 0.0
+    """Since this connection's hello, by the client's clock; 0: not told."""
 
 
 class WriteRpc(Message):
@@ -78,6 +80,7 @@
     repeat: bool = False
     token: Token = b""
     append: bool = False
+    at_ms: float = 0.0
 
 
 class Leave(Message):
