--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -200,6 +200,26 @@
     asyncio.run(load(scenario, "\n".join(given), index, list(addresses), folder))
 
 
+@lab.command(name="from-day")
+def lab_from_day(day: Path, *, out: Path | None = None) -> int:
+    """Turn a bench day file into a scenario for real dispatchers; says what could not be carried over."""
+    from cherrygrade.lab.fromday import convert_day, text_of
+
+    try:
+        record, lacking = convert_day(json.loads(day.read_text()))
+    except (OSError, ValueError) as trouble:
+        print(f"{day}: {trouble}", file=sys.stderr)
+        return 2
+    for one in lacking:
+        print(f"not carried over: {one}", file=sys.stderr)
+    text = text_of(record, lacking)
+    if out is None:
+        print(text, end="")
+    else:
+        out.write_text(text)
+    return 0
+
+
 @lab.command(name="selfcheck")
 def lab_selfcheck(
     *ways: int, scenario: Path = Path("scenarios/selfcheck.rec"), folder: Path = Path("build/selfcheck")
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -17,7 +17,7 @@
 from cherrygrade.standin.record import Record
 
 ON_NODES = frozenset(
-    {"crash", "silent", "refuse", "resets", "slow", "still", "errors", "trickle", "drain", "move"}
+    {"crash", "silent", "refuse", "resets", "slow", "still", "errors", "untold", "trickle", "drain", "move"}
 )
 ON_REGISTER = frozenset({"lag", "past", "quiet", "drop"})
 ON_DISPATCHERS = frozenset({"stop", "kill", "leave"})
--- a/cherrygrade/records/lattice.py
+++ b/cherrygrade/records/lattice.py
@@ -292,7 +292,7 @@
                         )
                         self.fault(at, f"no field '{label}' is allowed here; there are: {known}")
         elif self.kind == "list":
-            most, longest = max((count, at) for count, _, at in self._lists) if self._lists else (0, None)
+            most, _, longest = max(self._lists, key=lambda one: one[0])
             for count, rest, at in self._lists:
                 if count < most and rest is None:
                     self.fault(at, f"a list of {count} here, of {most} at {longest}")
--- a/cherrygrade/standin/node.py
+++ b/cherrygrade/standin/node.py
@@ -127,7 +127,7 @@
         self.later: deque[float] = deque()  # work put off, ms each
         self.running = 0
         self.speed, self.errors, self.trickle, self.resets = 1.0, 0.0, 0, 0
-        self.silent = self.fallen = False
+        self.silent = self.untold = False
         self.still_until = 0.0
         self.born = asyncio.get_event_loop().time() * 1000.0
         self.arrived: deque[tuple[float, float]] = deque()
@@ -199,8 +199,15 @@
             self.crash()
             self.address = self.address.rpartition(":")[0] + ":0"
             self.restart()
-        elif command in ("silent", "errors", "trickle", "resets", "speed"):
-            usual = {"silent": False, "errors": 0.0, "trickle": 0, "resets": 0, "speed": 1.0}[command]
+        elif command in ("silent", "untold", "errors", "trickle", "resets", "speed"):
+            usual = {
+                "silent": False,
+                "untold": False,
+                "errors": 0.0,
+                "trickle": 0,
+                "resets": 0,
+                "speed": 1.0,
+            }[command]
             setattr(self, command, type(usual)(values.get("value", 1)))
             if lasting:
                 loop.call_later(lasting, setattr, self, command, usual)
@@ -362,8 +369,12 @@
             return
         others = self.volumes.get(send.volume, 0.0) - self.by.get((door.name, send.volume), 0.0)
         elsewhere = others - self.seen.get((door.name, send.volume), 0.0)
-        self.seen[(door.name, send.volume)] = others
-        load = {"waiting": float(len(self.queue)), "in_hand": float(self.running)}
+        load = {}
+        if self.untold:  # what others used comes later, all at once
+            elsewhere = 0.0
+        else:
+            self.seen[(door.name, send.volume)] = others
+            load = {"waiting": float(len(self.queue)), "in_hand": float(self.running)}
         answer = Answer(send.id, code, load, -1.0, elsewhere)
         if door.cut:
             self.record.note("reset", door.name, send.origin, send.number)
