--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -50,19 +50,16 @@
         Form of the log on standard error.
     """
     site = _site(file, given)
+    from cherrygrade.compiled import dispatcher
     from cherrygrade.gateway.process import Gateway
     from cherrygrade.gateway.process import serve as run
     from cherrygrade.logs import make_log
 
     async def main() -> int:
-        gateway = Gateway(
-            site.place,
-            site.trade,
-            site.bearings,
-            site.bounds,
-            site.lines,
-            make_log(log, dispatcher=site.place.name),
-        )
+        make, compiled = dispatcher()
+        told = make_log(log, dispatcher=site.place.name)
+        told("module", compiled=compiled)
+        gateway = Gateway(site.place, site.trade, site.bearings, site.bounds, site.lines, told, make)
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
     try:
@@ -97,6 +94,19 @@
     return 0
 
 
+@app.command
+def compile() -> int:
+    """Compile the decision module for this machine: the same decisions, sooner. Needs a C compiler."""
+    from cherrygrade.compiled import build
+
+    try:
+        print(build())
+    except RuntimeError as trouble:
+        print(trouble, file=sys.stderr)
+        return 1
+    return 0
+
+
 @standin.command(name="node")
 def standin_node(
     *,
--- a/cherrygrade/gateway/rounds.py
+++ b/cherrygrade/gateway/rounds.py
@@ -47,16 +47,20 @@
         self.count = 0
         self._dispatcher, self._carrier, self._crashed, self._log = dispatcher, carrier, crashed, log
         self._loop = asyncio.get_running_loop()
-        self._stirred = self._ended = False
+        self._time = self._loop.time
+        self._stirred = self._ended = self._deciding = False
+        self._turn = 0.0
         self._todo: list[tuple[Callable[..., None], tuple[object, ...]]] = []  # emptied by each round
         self._oks: list[tuple[Held, Out]] = []  # emptied by each round
 
     def clock(self) -> float:
-        return self._loop.time() * 1000.0
+        """Read once for all that one turn of the event loop brings, and once for its round."""
+        return self._turn if self._stirred or self._deciding else self._time() * 1000.0
 
     def stir(self) -> None:
         """Something came in: a round runs once the event loop has delivered what else it holds."""
         if not (self._stirred or self._ended):
+            self._turn = self.clock()
             self._stirred = True
             self._loop.call_soon(self._round)
 
@@ -97,8 +101,15 @@
         self._stirred = False
         if self._ended:
             return
-        self.now = self.clock()
+        self.now = self._turn = self.clock()
         self.count += 1
+        self._deciding = True
+        try:
+            self._decide()
+        finally:
+            self._deciding = False
+
+    def _decide(self) -> None:
         self._carrier.before_round(self.now)
         oks, self._oks = self._oks, []
         try:
--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -50,7 +50,7 @@
         return None
 
     def frame(self, conn: Connection, message: Any, body: bytearray | memoryview | None) -> None:
-        if isinstance(message, ReadRpc | WriteRpc) and self.name:
+        if isinstance(message, (ReadRpc, WriteRpc)) and self.name:
             self._take(message, body)
         elif isinstance(message, Leave) and self.name:
             held = self.rpcs.pop(message.id, None)
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -65,15 +65,20 @@
 
     @property
     def out(self) -> bool:
-        return any(send.outcome is None for send in self.rpc.sends)
+        for send in self.rpc.sends:
+            if send.outcome is None:
+                return True
+        return False
 
     def join(self, queue: list[Job] | None) -> None:
         """Leave the queue it stands in for this one, or for none."""
         if self.queue is not None:
             self.queue.remove(self)
         self.queue = queue
-        if queue is not None:
+        if queue:
             insort(queue, self, key=lambda held: held.key)
+        elif queue is not None:
+            queue.append(self)
 
 
 class Lane:
@@ -111,7 +116,9 @@
         if free <= 0 or not (self.pressed or self.batch):
             self.filled = self.filled or free <= 0
             return []
-        self.contended = self.contended or bool(self.pressed and self.batch)
+        if not self.batch:
+            return [self.pressed]
+        self.contended = self.contended or bool(self.pressed)
         sides = [self.pressed, self.batch][:: 1 if self.lead <= 0.0 else -1]
         # Other hosts' pressed RPCs are seen only as waiting at the node: batch yields to them too.
         crowded = self.window < 2.0 and self.queue_ms > 0.25 * self.tight
@@ -255,7 +262,9 @@
 
     def leave(self, job: Job) -> Sequence[Job]:
         """The RPC is over and nothing of it is out: the next of its key, told here, may go."""
-        turn = self.turns.get(job.rpc.key, ())
+        turn = self.turns.get(job.rpc.key)
+        if turn is None:
+            return ()
         if job in turn:
             turn.remove(job)
             if not turn:
@@ -292,6 +301,8 @@
         return not ran or effect is Effect.IDEMPOTENT or (effect is Effect.TOKENED and everywhere)
 
     def repeatable(self, rpc: Rpc, node: Node, now: float) -> bool:
+        if not rpc.sends:
+            return True
         ran = [send for send in rpc.sends if send.outcome is None or not send.outcome.never_ran]
         if not ran or rpc.workload.effect is not Effect.TOKENED:
             return not ran or rpc.workload.effect is Effect.IDEMPOTENT
@@ -317,7 +328,9 @@
     def sent(self, job: Job, lane: Lane, now: float) -> None:
         self.further.extend([now] * bool(job.rpc.sends and self.budget))
         job.volume.store -= job.rpc.units * (not job.rpc.sends)
-        lane.cold = [(at, u) for at, u in lane.cold if at >= now - self.cold.span_ms] + [(now, job.rpc.units)]
+        if self.cold.units:
+            span = now - self.cold.span_ms
+            lane.cold = [(at, u) for at, u in lane.cold if at >= span] + [(now, job.rpc.units)]
 
 
 class Dispatcher:
@@ -328,7 +341,7 @@
         self.gate = Gate(number, dispatchers, earnings.mean_units, cold, budget, permits, key_rest_ms)
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
-        self.tries: dict[Workload, float] = {}  # longest time given for a try; a workload each
+        self.tries: dict[str, float] = {}  # longest time given for a try; a workload each
         self.volumes: dict[str, Volume] = {}
         self.jobs: dict[Rpc, Job] = {}
         self.lanes: dict[Node, Lane] = {}  # a machine each; dropped once gone with nothing left
@@ -415,31 +428,38 @@
     def take(self, rpc: Rpc, now: float, writer: Writer) -> None:
         if rpc.workload is None or rpc.plan is None:
             return writer.reject(rpc, 0.0)
-        volume = self.volumes.setdefault(rpc.volume, Volume(rpc.plan, rpc.hosts, now, self.earnings))
+        volume = self.volumes.get(rpc.volume)
+        if volume is None:
+            volume = self.volumes[rpc.volume] = Volume(rpc.plan, rpc.hosts, now, self.earnings)
         volume.pass_time(now)
         left = rpc.give_up_ms - now
-        longest = self.tries[rpc.workload] = max(self.tries.get(rpc.workload, 0.0), left)
+        longest = self.tries[rpc.workload.name] = max(self.tries.get(rpc.workload.name, 0.0), left)
         job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - (longest - left))
         self.gate.take(job, now)
         self.place(job, now)
 
     def place(self, job: Job, now: float) -> None:
         """Reads go to the node that holds the data, new objects where most credit is left."""
-        best, job.lane, few = 0.0, self.unplaced, FEW
-        if job.rpc.shard >= 0:
-            lanes = self.shards.get(job.rpc.shard, [])
-            live = [lane for lane in lanes if lane.node.standing is Standing.LIVE]
-            job.lane, few = [*live, *lanes, self.unplaced][0], 0
-        lanes = list(self.lanes.values()) if few else []
         self.count += 1
-        turn = crc32(f"{self.seed}:{self.count}".encode()) % max(1, len(lanes))
-        for lane in lanes[turn:] + lanes[:turn]:
+        lanes: list[Lane] = []
+        if job.rpc.shard >= 0:
+            homes = self.shards.get(job.rpc.shard) or [self.unplaced]
+            job.lane = homes[0]
+            for lane in homes:
+                if lane.node.standing is Standing.LIVE:
+                    job.lane = lane
+                    break
+        else:
+            job.lane, lanes = self.unplaced, list(self.lanes.values())
+        best, few = 0.0, FEW
+        turn = crc32(f"{self.seed}:{self.count}".encode()) % len(lanes) if lanes else 0
+        for lane in lanes[turn:] + lanes[:turn] if lanes else ():
             if lane.node.standing is not Standing.LIVE or lane.strikes or lane.errors > 0.3:
                 continue
             few -= 1
             if few < 0 and best:
                 break
-            credit = lane.slots() - lane.busy - len(lane.pressed)
+            credit = float(lane.slots() - lane.busy - len(lane.pressed))
             if credit > best and self.gate.cold_room(lane, now) >= NEVER:
                 best, job.lane = credit, lane
         self.stir(job.lane, now)
@@ -470,6 +490,9 @@
 
     def fill_one(self, lane: Lane, now: float, writer: Writer) -> bool:
         spare = self.unplaced
+        if not (lane.pressed or lane.batch or spare.pressed or spare.batch):
+            lane.filled = lane.filled or lane.busy >= lane.slots()
+            return False  # nothing waits anywhere
         if not lane.strikes and lane.errors <= 0.3 and lane.busy < lane.slots():
             for side, own in ((spare.pressed, lane.pressed), (spare.batch, lane.batch)):
                 job = side[0] if side else None
--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -51,6 +51,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport, self.open = transport, True
+        self._soon = asyncio.get_running_loop().call_soon
         transport.set_write_buffer_limits(high=0)
         name = transport.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "?"
@@ -108,7 +109,7 @@
             self._full = True
         if not self._flushing:
             self._flushing = True
-            asyncio.get_running_loop().call_soon(self._flush)
+            self._soon(self._flush)
 
     def send_raw(self, some: bytes) -> None:
         """Bytes as they are: for stand-ins that break off, or trickle, a frame."""
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -166,3 +166,17 @@
         waited = transit.waited(at, at + delay + offset)
         quickest = delay if quickest is None else min(quickest, delay)
         assert abs(waited - (delay - quickest)) < 1e-6 * max(1.0, abs(offset))
+
+
+def test_the_compiled_module_is_used_only_where_it_is_of_the_source_as_it_reads(monkeypatch):
+    import sys
+    import types
+
+    from cherrygrade import compiled, policy
+
+    other = types.ModuleType(compiled.NAME)
+    other.Dispatcher, other.MARK = object, "of another source"
+    monkeypatch.setitem(sys.modules, compiled.NAME, other)
+    assert compiled.dispatcher() == (policy.Dispatcher, False)
+    other.MARK = compiled.mark()
+    assert compiled.dispatcher() == (object, True)
