--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -96,7 +96,7 @@
 
     def close(self) -> None:
         for process in self.processes:
-            process.terminate()
+            process.kill()
         for process in self.processes:
             process.wait(10)
 
@@ -143,6 +143,8 @@
         if isinstance(message, wire.Welcome):
             self.ready.set_result(None)
             return
+        if isinstance(message, (wire.Leaving, wire.Bye)):
+            return
         begun = self.begun.pop(message.id, None)
         if begun is None:
             return
