--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -59,7 +59,9 @@
         make, compiled = dispatcher()
         told = make_log(log, dispatcher=site.place.name)
         told("module", compiled=compiled)
-        gateway = Gateway(site.place, site.trade, site.bearings, site.bounds, site.lines, told, make)
+        gateway = Gateway(
+            site.place, site.trade, site.bearings, site.bounds, site.lines, told, make, site.cuts
+        )
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
     try:
--- a/cherrygrade/client/library.py
+++ b/cherrygrade/client/library.py
@@ -61,6 +61,8 @@
         self._open: dict[
             int, tuple[asyncio.Future[Answer], Connection]
         ] = {}  # emptied by answers, deadlines, lost lines
+        self._lengths: dict[int, int] = {}  # of open reads; emptied with them
+        self._parts: dict[int, bytearray] = {}  # what came of them so far; emptied with them
         self._conn: Connection | None = None
         self._retired: set[Connection] = set()  # told to leave; closed once nothing is open there
         self._ready: asyncio.Future[None] | None = None
@@ -80,20 +82,21 @@
         self,
         workload: str,
         volume: str,
-        key: str,
+        key: str = "",
         *,
-        shard: int,
+        shard: int = -1,
         offset: int = 0,
         length: int,
         deadline_ms: float,
         repeat: bool = False,
     ) -> Answer:
-        """`length` bytes from `offset` of the extent `key`, within `deadline_ms` from now."""
+        """`length` bytes from `offset`, within `deadline_ms` from now: of the volume as a byte range, or of
+        the object `key` on `shard`."""
 
         def ask(id_: int, left: float, at: float) -> wire.Message:
             return wire.ReadRpc(id_, workload, volume, key, shard, offset, length, left, repeat, at)
 
-        return await self._run(ask, None, deadline_ms)
+        return await self._run(ask, None, deadline_ms, length)
 
     async def write(
         self,
@@ -126,7 +129,7 @@
             self._lose(conn, "client closed")
 
     async def _run(
-        self, ask: Callable[[int, float, float], wire.Message], body: Any, deadline_ms: float
+        self, ask: Callable[[int, float, float], wire.Message], body: Any, deadline_ms: float, length: int = 0
     ) -> Answer:
         loop = asyncio.get_running_loop()
         until = loop.time() + deadline_ms / 1000.0
@@ -140,6 +143,8 @@
         id_ = next(self._ids)
         future: asyncio.Future[Answer] = loop.create_future()
         self._open[id_] = (future, conn)
+        if length:
+            self._lengths[id_] = length
         left = (until - loop.time()) * 1000.0
         message = ask(id_, left, (loop.time() - self._greeted) * 1000.0)
         if self._told is not None:
@@ -150,6 +155,8 @@
             return await future
         finally:
             timer.cancel()
+            self._lengths.pop(id_, None)
+            self._parts.pop(id_, None)
             if self._open.pop(id_, None) is not None:  # the caller was cancelled
                 conn.send(wire.Leave(id_))
                 self._close_retired(conn)
@@ -195,11 +202,17 @@
 
     def connected(self, conn: Connection) -> None:
         self._greeted = asyncio.get_running_loop().time() - 0.001
-        conn.send(wire.Hello(wire.VERSION, "client", self.name))
+        conn.send(wire.Hello(wire.VERSION, "client", self.name, ["parts"]))
 
-    def room(self, conn: Connection, message: Any, length: int) -> bytearray | None:
+    def room(self, conn: Connection, message: Any, length: int) -> bytearray | memoryview | None:
         if isinstance(message, wire.Ok) and message.id in self._open:
             return bytearray(length)
+        if isinstance(message, wire.Part) and message.id in self._lengths:
+            whole = self._parts.get(message.id)
+            if whole is None:
+                whole = self._parts[message.id] = bytearray(self._lengths[message.id])
+            if message.at + length <= len(whole):
+                return memoryview(whole)[message.at : message.at + length]
         return None
 
     def frame(self, conn: Connection, message: Any, body: Any) -> None:
@@ -224,6 +237,8 @@
                 self._come_from, asyncio.get_running_loop().time() * 1000.0 + message.come_back_ms
             )
             return
+        if isinstance(message, wire.Part):
+            return  # its bytes are where they belong
         if not isinstance(message, wire.Ok | wire.Rejected | wire.Errored):
             conn.close(f"unexpected {type(message).__name__}")
             return
@@ -231,7 +246,7 @@
             self._told("answer", message.id, message=message, body=body)
         future, _ = self._open.pop(message.id, (None, None))
         if future is not None and not future.done():
-            self._answer(future, message, body)
+            self._answer(future, message, body if body is not None else self._parts.get(message.id))
         self._close_retired(conn)
 
     def _answer(self, future: asyncio.Future[Answer], message: Any, body: Any) -> None:
--- /dev/null
+++ b/cherrygrade/extents/carrier.py
@@ -0,0 +1,302 @@
+"""Ranges between sessions and rounds: maps and splits them, holds small ones for company, joins answers.
+
+Asks the decisions of this package and carries them out; the module still decides on each piece.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from cherrygrade.extents.hold import Company
+from cherrygrade.extents.map import NOWHERE, ExtentMap, Stretch
+from cherrygrade.extents.parent import End, Parent, Piece
+from cherrygrade.gateway.held import Held, Out
+from cherrygrade.interface import Effect
+from cherrygrade.site import Cuts
+from cherrygrade.wire.messages import Errored, MapPart, Ok, Part, ReadRpc, Rejected, WriteRpc
+
+if TYPE_CHECKING:
+    from cherrygrade.gateway.process import Gateway
+    from cherrygrade.gateway.sessions import Session
+
+ASK_AGAIN_MS = 250.0
+PARTS = "parts"  # the feature of clients that take a read's bytes as they come
+
+
+class Range:
+    """A client's RPC that goes as pieces. `helds` is emptied as they end, and by its own end."""
+
+    def __init__(
+        self, carrier: Carrier, session: Session, ask: ReadRpc | WriteRpc, body: Any, until: float
+    ) -> None:
+        self.carrier, self.session, self.ask, self.until = carrier, session, ask, until
+        self.writes = isinstance(ask, WriteRpc)
+        self.length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
+        self.streams = not self.writes and PARTS in session.features
+        self.whole = (
+            memoryview(body or b"")
+            if self.writes
+            else (None if self.streams else memoryview(bytearray(self.length)))
+        )
+        self.helds: dict[Piece, Held] = {}
+        self.mapped = False
+        self.parent = Parent([Stretch(-1, 0, self.length, 0)], self.writes, 1, 1)
+
+    def plan(self) -> None:
+        """Begin anew by the map, which is known now; nothing has been sent before it was."""
+        for held in self.helds.values():
+            self.carrier.gateway.rounds.leave(held)
+        self.helds.clear()
+        cuts, ask = self.carrier.cuts, self.ask
+        stretches = self.carrier.map.stretches(ask.volume, ask.offset, self.length, cuts.most_piece)
+        self.mapped = True
+        self.parent = Parent(list(stretches), self.writes, cuts.pieces, cuts.pieces_a_shard)
+        self.feed()
+
+    def feed(self) -> None:
+        """Take more pieces, unless the client does not take what came."""
+        if self.session.conn.full:
+            return
+        wanted = {piece.stretch.extent for piece in self.parent.waiting}
+        homes = {extent: self.carrier.map.home(self.ask.volume, extent) for extent in wanted}
+        for piece in self.parent.more(homes):
+            held = self.carrier.hold_piece(self, piece)
+            self.helds[piece] = held
+            self.carrier.gateway.rounds.take(held)
+
+    def ok(self, held: Held) -> None:
+        piece, body = held.piece, held.body
+        assert piece is not None
+        self.helds.pop(piece, None)
+        stretch = piece.stretch
+        if self.streams and body is not None:
+            self.session.conn.send(Part(self.ask.id, stretch.at), body)
+        elif self.whole is not None and not self.writes and body is not None and body is not held.place:
+            self.whole[stretch.at : stretch.at + stretch.length] = body
+        self.parent.ok(piece, held.version)
+        self._on()
+
+    def rejected(self, held: Held, come_back_ms: float) -> None:
+        assert held.piece is not None
+        self.helds.pop(held.piece, None)
+        if any(send.outcome is None or not send.outcome.never_ran for send in held.sends):
+            self.parent.begun = True
+        self.parent.rejected(held.piece, come_back_ms)
+        self._on()
+
+    def errored(self, held: Held) -> None:
+        assert held.piece is not None
+        self.helds.pop(held.piece, None)
+        self.parent.errored(held.piece)
+        self._on()
+
+    def _on(self) -> None:
+        end, parent = self.parent.end, self.parent
+        if end is None:
+            self.feed()
+            return
+        self.drop()
+        ask, gateway = self.ask, self.carrier.gateway
+        if end is End.OK:
+            body = None if self.streams or self.writes else self.whole
+            gateway.final(self, Ok(ask.id, -1), body)
+        elif end is End.REJECTED:
+            gateway.final(self, Rejected(ask.id, parent.come_back_ms, "a piece of it was rejected"))
+        else:
+            what = "a piece failed: its ranges may hold new bytes or old" if self.writes else "a piece failed"
+            gateway.final(self, Errored(ask.id, what))
+
+    def drop(self) -> None:
+        """Pieces that are still held are of no use any more."""
+        helds, self.helds = self.helds, {}
+        for held in helds.values():
+            self.carrier.gateway.rounds.leave(held)
+
+
+class Carrier:
+    """All of a dispatcher's ranges. `astray` is emptied by the map's word and by the RPCs' ends, `unmapped`
+    by the volume's map or its RPCs' ends, `company` by the hold's end."""
+
+    def __init__(self, gateway: Gateway, cuts: Cuts, ask_map: Callable[[str, int, int], None]) -> None:
+        self.gateway, self.cuts, self.ask_map = gateway, cuts, ask_map
+        self.map = ExtentMap()
+        self.holds = Company(cuts.hold_part)
+        self.astray: dict[tuple[str, int], list[Held]] = {}
+        self.unmapped: dict[str, list[Range]] = {}
+        self.company: dict[tuple[str, int], list[Held]] = {}
+        self.joined = self.sent_apart = self.held_vain = 0
+        self._again: asyncio.TimerHandle | None = None
+
+    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held | Range | None:
+        """A client's RPC on a range; None where it was answered at once."""
+        gateway, volume = self.gateway, ask.volume
+        length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
+        workload = gateway.trade.workloads.get(ask.workload)
+        if workload is None or volume not in gateway.trade.volumes:
+            return gateway.take(session, ask, body)  # the module rejects what it does not know
+        if isinstance(ask, WriteRpc) and ask.append:
+            session.conn.send(Errored(ask.id, "a range has no end to append to"))
+            return None
+        if not self.map.known(volume):
+            range_ = Range(self, session, ask, body, gateway.until(session, ask))
+            self.unmapped.setdefault(volume, []).append(range_)
+            self._ask(volume, 0, 2**31)
+            range_.feed()
+            return range_
+        if ask.offset + length > self.map.size(volume):
+            session.conn.send(Errored(ask.id, f"beyond the volume's end at {self.map.size(volume)}"))
+            return None
+        if not length:
+            session.conn.send(Ok(ask.id, -1))
+            return None
+        stretches = list(self.map.stretches(volume, ask.offset, length, self.cuts.most_piece))
+        if workload.in_order and stretches[0].extent != stretches[-1].extent:
+            session.conn.send(Errored(ask.id, "a range that keeps an order must lie within one extent"))
+            return None
+        if len(stretches) > 1:
+            range_ = Range(self, session, ask, body, gateway.until(session, ask))
+            range_.plan()
+            return range_
+        held = self._single(session, ask, body, stretches[0])
+        wait = 0.0
+        if held.joins:
+            wait = self.holds.hold(volume, held.extent, gateway.rounds.clock(), workload.soft_ms)
+        if wait <= 0.0:
+            gateway.rounds.take(held)
+            return held
+        key = (volume, held.extent)
+        if key not in self.company:
+            self.company[key] = []
+            asyncio.get_running_loop().call_later(wait / 1000.0, self._together, key)
+        self.company[key].append(held)
+        return held
+
+    def _together(self, key: tuple[str, int]) -> None:
+        """A hold is over: all that came go to the module in one round."""
+        helds = [held for held in self.company.pop(key) if not held.over]
+        self.holds.met(*key, self.gateway.rounds.clock(), len(helds))
+        self.held_vain += len(helds) == 1
+        for held in helds:
+            self.gateway.rounds.take(held)
+
+    def _single(self, session: Session, ask: ReadRpc | WriteRpc, body: Any, stretch: Stretch) -> Held:
+        shard, version = self.map.home(ask.volume, stretch.extent)
+        held = self.gateway.make(
+            session,
+            ask,
+            body,
+            f"e{stretch.extent}",
+            shard,
+            stretch.start,
+            stretch.length,
+            self.gateway.until(session, ask),
+        )
+        return self._of_extent(held, stretch, version)
+
+    def hold_piece(self, range_: Range, piece: Piece) -> Held:
+        stretch, ask = piece.stretch, range_.ask
+        body = None
+        if range_.writes and range_.whole is not None:
+            body = range_.whole[stretch.at : stretch.at + stretch.length]
+        held = self.gateway.make(
+            range_.session,
+            ask,
+            body,
+            f"e{stretch.extent}",
+            piece.shard,
+            stretch.start,
+            stretch.length,
+            range_.until,
+        )
+        held.id = f"{held.id}/{stretch.at}.{piece.turn}"
+        held.range, held.piece = range_, piece
+        if not range_.writes and range_.whole is not None:
+            held.place = range_.whole[stretch.at : stretch.at + stretch.length]
+        return self._of_extent(held, stretch, piece.version)
+
+    def _of_extent(self, held: Held, stretch: Stretch, version: int) -> Held:
+        held.extent, held.version = stretch.extent, max(0, version)
+        work = held.workload
+        assert work is not None
+        held.joins = self.cuts.merge and work.effect is Effect.IDEMPOTENT and not work.in_order
+        if held.shard == NOWHERE and stretch.extent >= 0:
+            self._stray(held)
+        return held
+
+    def stale(self, held: Held) -> None:
+        """A node's answer told that the map is old: the RPC waits for the newer word, in the module."""
+        self.map.forget(held.volume, held.extent, held.version)
+        shard, version = self.map.home(held.volume, held.extent)
+        held.shard = shard
+        if shard == NOWHERE:
+            self._stray(held)
+        else:
+            held.version = version
+
+    def _stray(self, held: Held) -> None:
+        waiting = self.astray.setdefault((held.volume, held.extent), [])
+        waiting[:] = [other for other in waiting if not other.over]
+        waiting.append(held)
+        if len(waiting) == 1:  # others wait for the same answer
+            self._ask(held.volume, held.extent, 1)
+
+    def _ask(self, volume: str, first: int, count: int) -> None:
+        self.ask_map(volume, first, count)
+        if self._again is None:
+            loop = asyncio.get_running_loop()
+            self._again = loop.call_later(ASK_AGAIN_MS / 1000.0, self._ask_again)
+
+    def _ask_again(self) -> None:
+        """Words get lost with connections: what still waits asks again."""
+        self._again = None
+        for key, helds in [*self.astray.items()]:
+            if all(held.over for held in helds):
+                del self.astray[key]
+            else:
+                self._ask(*key, 1)
+        for volume, ranges in [*self.unmapped.items()]:
+            ranges[:] = [one for one in ranges if one in self.gateway.held]
+            if ranges:
+                self._ask(volume, 0, 2**31)
+            else:
+                del self.unmapped[volume]
+
+    def heard(self, word: MapPart) -> None:
+        learned = self.map.hear(word.volume, word.epoch, word.size, word.extent_bytes, word.first, word.homes)
+        found = False
+        for extent in learned:
+            shard, version = self.map.home(word.volume, extent)
+            for held in self.astray.pop((word.volume, extent), []):
+                if not held.over:
+                    held.shard, held.version, found = shard, version, True
+        for range_ in self.unmapped.pop(word.volume, []):
+            if range_ in self.gateway.held:
+                self._map_late(range_)
+        if found:
+            self.gateway.look_again()
+
+    def _map_late(self, range_: Range) -> None:
+        """The map came after the RPC: what it tells of it now, it is told as it would have been at first."""
+        ask = range_.ask
+        if ask.offset + range_.length > self.map.size(ask.volume):
+            range_.drop()
+            self.gateway.final(range_, Errored(ask.id, "beyond the volume's end"))
+        elif not range_.length:
+            range_.drop()
+            self.gateway.final(range_, Ok(ask.id, -1))
+        else:
+            range_.plan()
+
+    def close(self) -> None:
+        if self._again is not None:
+            self._again.cancel()
+
+
+def note_joined(carrier: Carrier, out: Out) -> None:
+    """Counts for the log: sends that carried others, and those that went alone though they might have."""
+    if out.mates:
+        carrier.joined += len(out.mates)
+    elif out.rpc.joins:
+        carrier.sent_apart += 1
--- /dev/null
+++ b/cherrygrade/extents/parent.py
@@ -0,0 +1,102 @@
+"""One client's RPC that goes as several pieces: which are taken when, and what their ends mean. Free of I/O.
+
+A read is ok only with all its bytes, those of one extent all of one version: where an extent turns out to
+have moved midway, its pieces go anew. A write that went in part is errored, never rejected: its ranges may
+hold new bytes or old. A read may always be rejected, it has no effect.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+from cherrygrade.extents.map import NOWHERE, Stretch
+
+
+class End(Enum):
+    OK = "ok"
+    REJECTED = "rejected"
+    ERRORED = "errored"
+
+
+@dataclass(slots=True, eq=False)
+class Piece:
+    """A stretch with the home that it was last sent for. `turn` counts how often it went anew."""
+
+    stretch: Stretch
+    shard: int = NOWHERE
+    version: int = -1
+    turn: int = 0
+
+
+class Parent:
+    """`more` gives pieces to be taken now, at most `most_out` at once and `most_shard` of one shard.
+
+    Emptied by its end: pieces not yet taken are dropped at once then, `out` tells those that are.
+    """
+
+    def __init__(self, stretches: list[Stretch], writes: bool, most_out: int, most_shard: int) -> None:
+        self.writes, self.most_out, self.most_shard = writes, most_out, most_shard
+        self.waiting: deque[Piece] = deque(Piece(stretch) for stretch in stretches)
+        self.out: dict[Piece, None] = {}
+        self.done: dict[int, list[Piece]] = {}  # by extent
+        self.left = len(self.waiting)
+        self.end: End | None = None if self.left else End.OK
+        self.come_back_ms = 0.0
+        self.begun = False  # something of it may have run
+
+    def more(self, homes: dict[int, tuple[int, int]]) -> list[Piece]:
+        """Pieces to be taken now; `homes` has shard and version of the extents that wait."""
+        if self.end is not None:
+            return []
+        by_shard: dict[int, int] = {}
+        for piece in self.out:
+            by_shard[piece.shard] = by_shard.get(piece.shard, 0) + 1
+        taken: list[Piece] = []
+        passed: list[Piece] = []
+        while self.waiting and len(self.out) + len(taken) < self.most_out and len(passed) < self.most_out:
+            piece = self.waiting.popleft()
+            shard, version = homes.get(piece.stretch.extent, (NOWHERE, -1))
+            if by_shard.get(shard, 0) >= self.most_shard:
+                passed.append(piece)  # others of other shards may go before it
+                continue
+            piece.shard, piece.version = shard, version
+            by_shard[shard] = by_shard.get(shard, 0) + 1
+            taken.append(piece)
+        self.waiting.extendleft(reversed(passed))
+        for piece in taken:
+            self.out[piece] = None
+        return taken
+
+    def ok(self, piece: Piece, version: int) -> None:
+        """Its bytes came, or were written, at this version of the extent."""
+        if self.out.pop(piece, self) is not None or self.end is not None:
+            return
+        self.begun = True
+        others = self.done.setdefault(piece.stretch.extent, [])
+        if others and others[0].version != version and not self.writes:
+            newer = version > others[0].version
+            for old in others if newer else [piece]:
+                old.turn += 1
+                self.waiting.appendleft(old)
+            self.left += len(others) if newer else 0
+            if not newer:
+                return
+            others.clear()
+        piece.version = version
+        others.append(piece)
+        self.left -= 1
+        if not self.left:
+            self.end = End.OK
+
+    def errored(self, piece: Piece) -> None:
+        if self.out.pop(piece, self) is None:
+            self.end = self.end or End.ERRORED
+
+    def rejected(self, piece: Piece, come_back_ms: float) -> None:
+        """The piece never ran, or may run again."""
+        if self.out.pop(piece, self) is None and self.end is None:
+            self.come_back_ms = come_back_ms
+            partly = self.writes and (self.begun or bool(self.out))
+            self.end = End.ERRORED if partly else End.REJECTED
--- a/cherrygrade/gateway/follower.py
+++ b/cherrygrade/gateway/follower.py
@@ -13,7 +13,7 @@
 from cherrygrade.gateway.roster import Book
 from cherrygrade.interface import Node
 from cherrygrade.transport.connection import Connection
-from cherrygrade.wire.messages import VERSION, Bye, Follow, Hello, Roster, Welcome
+from cherrygrade.wire.messages import VERSION, AskMap, Bye, Follow, Hello, MapPart, Roster, Welcome
 
 MOST_BODY = 0  # a register sends no bodies
 ANSWER_MS = 2000.0  # an ask that is not answered by then has come to nothing
@@ -31,10 +31,11 @@
         must_ask: bool,
         clock: Callable[[], float],
         heard: Callable[[list[Node], bool | None], None],
+        mapped: Callable[[MapPart], None],
         log: Callable[..., None],
     ) -> None:
         self.address, self.name, self.book, self.must_ask = address, name, book, must_ask
-        self._clock, self._heard, self._log = clock, heard, log
+        self._clock, self._heard, self._mapped, self._log = clock, heard, mapped, log
         self._backoff = Backoff(f"{name}>{address}")
         self._conn: Connection | None = None
         self._task: asyncio.Task[None] | None = None
@@ -65,6 +66,11 @@
         if self._conn is not None and self._conn.open:
             self._conn.send(Follow(push=push))
 
+    def ask_map(self, volume: str, first: int, count: int) -> None:
+        """Ask where extents lie; nothing where the register is away, whoever waits asks again."""
+        if self._conn is not None and self._conn.open:
+            self._conn.send(AskMap(volume, first, count))
+
     def _unanswered(self) -> None:
         self._deadline = None
         if self._asked:
@@ -106,6 +112,8 @@
                     self._deadline.cancel()
                     self._deadline = None
             self._heard(learned, answered)
+        elif isinstance(message, MapPart):
+            self._mapped(message)
         elif not isinstance(message, Welcome | Bye):
             conn.close(f"unexpected {type(message).__name__} from the register")
 
--- a/cherrygrade/gateway/held.py
+++ b/cherrygrade/gateway/held.py
@@ -9,7 +9,9 @@
 from cherrygrade.wire.messages import ReadRpc, WriteRpc
 
 if TYPE_CHECKING:
-    from cherrygrade.gateway.links import NodeLine
+    from cherrygrade.extents.carrier import Range
+    from cherrygrade.extents.parent import Piece
+    from cherrygrade.gateway.links import Flight
     from cherrygrade.gateway.sessions import Session
 
 Body = bytearray | memoryview | None
@@ -23,13 +25,20 @@
     ask: ReadRpc | WriteRpc | None = None
     body: Body = None
     """What a write writes; what a read's ok answer carries."""
+    place: memoryview | None = None
+    """Where a read's bytes belong, if that is known before they come."""
+    extent: int = -1
+    version: int = -1
+    """Of the extent, as the map told it; -1: named by key, not by range."""
+    range: Range | None = None
+    piece: Piece | None = None
+    """The client's RPC that this is a piece of."""
 
 
 @dataclass(slots=True, eq=False)
 class Out(Send):
-    """One send, with the connection that carries it once it has begun to leave."""
+    """One send, with the frame that carries it, alone or with others."""
 
-    line: NodeLine | None = None
-    stream: int = 0
+    flight: Flight | None = None
     slot: int = 0
     """Of the wheel of time-outs."""
--- a/cherrygrade/gateway/links.py
+++ b/cherrygrade/gateway/links.py
@@ -23,7 +23,6 @@
     Answer,
     Bye,
     Hello,
-    ReadRpc,
     ReadSend,
     Welcome,
     Withdraw,
@@ -31,7 +30,22 @@
     WriteSend,
 )
 
-CODES = {0: Outcome.OK, 1: Outcome.ERRORED, 2: Outcome.FULL}
+CODES = {0: Outcome.OK, 1: Outcome.ERRORED, 2: Outcome.FULL, 3: Outcome.UNSENT, 4: Outcome.UNSENT}
+STALE = (3, 4)
+
+
+class Flight:
+    """One frame to a node: a send, or several that share it. Parts leave it as they end."""
+
+    def __init__(self, parts: list[Out]) -> None:
+        self.parts = parts
+        self.line: NodeLine | None = None
+        self.stream = self.low = self.high = 0
+
+    def begin(self, line: NodeLine, stream: int) -> None:
+        self.line, self.stream = line, stream
+        self.low = min(out.rpc.start for out in self.parts)
+        self.high = max(out.rpc.start + out.rpc.length for out in self.parts)
 
 
 class NodeLine:
@@ -40,7 +54,7 @@
     def __init__(self, link: Link, line: Line) -> None:
         self.link, self.line = link, line
         self.conn = Connection(self, link.most_body)
-        self.outs: dict[int, Out] = {}  # sends out on this line; emptied by outcomes and by the line's end
+        self.flights: dict[int, Flight] = {}  # out on this line; emptied by outcomes and by the line's end
         self.last = 0  # newest stream number given out
         self.let_go = False  # it was we who closed it
         self.greeting: asyncio.TimerHandle | None = None
@@ -48,16 +62,17 @@
     def connected(self, conn: Connection) -> None:
         conn.send(Hello(VERSION, "dispatcher", self.link.name))
 
-    def room(self, conn: Connection, message: Any, length: int) -> bytearray | None:
+    def room(self, conn: Connection, message: Any, length: int) -> bytearray | memoryview | None:
         """A late answer to a send that was given up on has no room: it is read off and dropped."""
         if not isinstance(message, Answer):
             return None
-        out = self.outs.get(message.id)
-        if out is None or message.code or not isinstance(out.rpc, Held):
+        flight = self.flights.get(message.id)
+        if flight is None or message.code or length != flight.high - flight.low:
             return None
-        ask = out.rpc.ask
-        wanted = ask.length if isinstance(ask, ReadRpc) else 0
-        return bytearray(length) if length == wanted else None
+        held = flight.parts[0].rpc
+        if len(flight.parts) == 1 and isinstance(held, Held) and held.place is not None:
+            return held.place if held.length == length else None
+        return bytearray(length)
 
     def frame(self, conn: Connection, message: Any, body: bytearray | memoryview | None) -> None:
         if isinstance(message, Answer):
@@ -71,20 +86,37 @@
             conn.close(f"unexpected {type(message).__name__} from a node")
 
     def _answer(self, answer: Answer, body: bytearray | memoryview | None) -> None:
-        out = self.outs.pop(answer.id, None)
-        if out is None:
+        flight = self.flights.pop(answer.id, None)
+        if flight is None:
             if answer.id > self.last:
                 self.conn.close("an answer to a send that was never made")
             return
-        outcome = CODES.get(answer.code, Outcome.ERRORED)
-        held = out.rpc
-        assert isinstance(held, Held)
-        if outcome is Outcome.OK and isinstance(held.ask, ReadRpc):
-            if (0 if body is None else len(body)) != held.ask.length:
-                outcome = Outcome.ERRORED  # not the bytes that were asked for
-        out.load, out.elsewhere = answer.load, max(0.0, answer.elsewhere)
-        out.used = answer.used if answer.used >= 0.0 else None
-        self.link.ended(out, self, outcome, body)
+        code = CODES.get(answer.code, Outcome.ERRORED)
+        alone = len(flight.parts) == 1
+        for out in flight.parts:
+            held, outcome, mine = out.rpc, code, body
+            assert isinstance(held, Held)
+            first = held.start - flight.low
+            if outcome is Outcome.OK and not held.writes:
+                if (0 if body is None else len(body)) != flight.high - flight.low:
+                    outcome = Outcome.ERRORED  # not the bytes that were asked for
+                elif body is not None and not (alone and held.length == len(body)):
+                    mine = memoryview(body)[first : first + held.length]
+            if outcome is Outcome.OK and any(
+                at < held.start + held.length and held.start < at + length for at, length in answer.failed
+            ):
+                outcome = Outcome.ERRORED  # its own bytes did not come; those of its mates did
+            elif answer.code in STALE:
+                if held.version < 0:
+                    outcome = Outcome.ERRORED
+                else:
+                    self.link.stale(held)
+            out.load = answer.load
+            if out.lead is None:
+                out.elsewhere = max(0.0, answer.elsewhere)
+                out.used = answer.used if answer.used >= 0.0 else None
+            self.link.part_ended(out, outcome, mine)
+        self.link.flight_over(self)
 
     def writable(self, conn: Connection) -> None:
         self.line.full = False
@@ -94,6 +126,10 @@
         self.link.lost(self, why)
 
 
+def _start_of(out: Out) -> int:
+    return out.rpc.start
+
+
 class Link:
     """All that goes to one node from here. `waiting` is emptied by lines, failed connects and time-outs."""
 
@@ -107,19 +143,25 @@
         most_body: int,
         lines: Lines,
         log: Callable[..., None],
+        stale: Callable[[Held], None],
     ) -> None:
         self.node, self.name, self.rounds, self.wheel = node, name, rounds, wheel
         self.most_body, self.log = most_body, log
         self.connect_ms, self.idle_ms = lines.connect_ms, lines.idle_ms
         self.pool = Pool(seed, lines.most, lines.streams, lines.idle_ms)
-        self.waiting: deque[Out] = deque()
+        self.waiting: deque[Flight] = deque()
+        self.stale = stale
         self.lines: dict[Line, NodeLine] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._again: asyncio.TimerHandle | None = None
         self._sweep: asyncio.TimerHandle | None = None
 
-    def carry(self, out: Out) -> None:
-        self.waiting.append(out)
+    def carry(self, outs: list[Out]) -> None:
+        """One send, or several that share one frame."""
+        flight = Flight(outs)
+        for out in outs:
+            out.flight = flight
+        self.waiting.append(flight)
         self.pump()
 
     def pump(self) -> None:
@@ -146,46 +188,58 @@
         self._again = None
         self.pump()
 
-    def _start(self, out: Out, carried: NodeLine) -> None:
-        held = out.rpc
-        assert isinstance(held, Held) and held.ask is not None and held.workload is not None
+    def _start(self, flight: Flight, carried: NodeLine) -> None:
         carried.last += 1
-        out.line, out.stream = carried, carried.last
-        carried.outs[out.stream] = out
+        flight.begin(carried, carried.last)
+        carried.flights[flight.stream] = flight
         self.pool.took(carried.line)
-        ask, limit = held.ask, held.give_up_ms - self.rounds.clock()
-        if isinstance(ask, WriteRpc):
+        lead, others = flight.parts[0], [(out.rpc.id, out.number) for out in flight.parts[1:]]
+        held, now = lead.rpc, self.rounds.clock()
+        assert isinstance(held, Held) and held.workload is not None
+        limit = max(out.rpc.give_up_ms for out in flight.parts) - now
+        length, units = flight.high - flight.low, lead.units or held.units
+        if held.writes:
+            ask = held.ask
+            assert isinstance(ask, WriteRpc)
             tokened = held.workload.effect is Effect.TOKENED
+            bodies = [
+                out.rpc.body for out in sorted(flight.parts, key=_start_of) if isinstance(out.rpc, Held)
+            ]
             carried.conn.send(
                 WriteSend(
-                    out.stream,
+                    flight.stream,
                     held.id,
                     held.volume,
-                    ask.key,
-                    ask.offset,
-                    held.units,
+                    held.key,
+                    flight.low,
+                    units,
                     limit,
-                    out.number,
+                    lead.number,
                     held.hosts,
                     ask.token if tokened else b"",
                     held.workload.token_ms if tokened else 0.0,
                     ask.append,
+                    held.version,
+                    others,
                 ),
-                held.body,
+                bodies[0],
+                bodies[1:],
             )
         else:
             carried.conn.send(
                 ReadSend(
-                    out.stream,
+                    flight.stream,
                     held.id,
                     held.volume,
-                    ask.key,
-                    ask.offset,
-                    ask.length,
-                    held.units,
+                    held.key,
+                    flight.low,
+                    length,
+                    units,
                     limit,
-                    out.number,
+                    lead.number,
                     held.hosts,
+                    held.version,
+                    others,
                 )
             )
         carried.line.full = carried.conn.full
@@ -235,49 +289,62 @@
         never = not carried.line.ready
         self.pool.gone(carried.line, self.rounds.clock(), wanted=not carried.let_go)
         if not carried.let_go:
-            self.log("line lost", node=self.node.address, why=why, out=len(carried.outs))
-        outs, carried.outs = carried.outs, {}
-        for out in outs.values():
-            self.wheel.drop(out, out.slot)
-            self.rounds.outcome(out, Outcome.RESET)
+            self.log("line lost", node=self.node.address, why=why, out=len(carried.flights))
+        flights, carried.flights = carried.flights, {}
+        for flight in flights.values():
+            for out in flight.parts:
+                self.part_ended(out, Outcome.RESET)
         if never and not any(line.ready for line in self.pool.lines):
             # Nothing of these left this process. They are told at once: the module knows what to do about it.
-            unconnected, self.waiting = self.waiting, deque()
-            for out in unconnected:
-                self.wheel.drop(out, out.slot)
-                self.rounds.outcome(out, Outcome.UNCONNECTED)
+            self._keep_back(Outcome.UNCONNECTED)
         self.pump()
 
-    def ended(
-        self, out: Out, carried: NodeLine, outcome: Outcome, body: bytearray | memoryview | None
-    ) -> None:
+    def _keep_back(self, outcome: Outcome) -> None:
+        """What has not begun to leave stays here."""
+        kept, self.waiting = self.waiting, deque()
+        for flight in kept:
+            for out in flight.parts:
+                self.part_ended(out, outcome)
+
+    def part_ended(self, out: Out, outcome: Outcome, body: bytearray | memoryview | None = None) -> None:
         self.wheel.drop(out, out.slot)
-        self.pool.gave(carried.line, self.rounds.clock())
         self.rounds.outcome(out, outcome, body)
+
+    def flight_over(self, carried: NodeLine) -> None:
+        self.pool.gave(carried.line, self.rounds.clock())
         if self.waiting:
             self.pump()
         elif carried.line.closing and not carried.line.busy:
             self._let_go(carried, "node closed")
 
     def give_up(self, out: Out, outcome: Outcome) -> None:
-        """No answer is waited for any more: timed out or cancelled where it has left, else unsent."""
-        if out.line is None:
-            self.waiting.remove(out)
-            self.rounds.outcome(out, Outcome.UNSENT)
+        """No answer is waited for any more: timed out or cancelled where it has left, else unsent.
+
+        Others that share its frame go on.
+        """
+        flight = out.flight
+        if flight is None or out not in flight.parts or out.outcome is not None:
+            return
+        if flight.line is None:
+            flight.parts.remove(out)
+            if not flight.parts:
+                self.waiting.remove(flight)
+            self.part_ended(out, Outcome.UNSENT)
+            return
+        if flight.line.flights.get(flight.stream) is not flight:
             return
-        carried = out.line
-        if carried.outs.pop(out.stream, None) is None:
+        self.part_ended(out, outcome)
+        if len(flight.parts) > 1:
+            flight.parts.remove(out)
             return
-        carried.conn.send(Withdraw(out.stream))
-        self.ended(out, carried, outcome, None)
+        del flight.line.flights[flight.stream]
+        flight.line.conn.send(Withdraw(flight.stream))
+        self.flight_over(flight.line)
 
     def standing_heard(self) -> None:
         """The list spoke of the node: where nothing new may go to it, what has not left stays here."""
         if self.node.standing is not Standing.LIVE:
-            kept, self.waiting = self.waiting, deque()
-            for out in kept:
-                self.wheel.drop(out, out.slot)
-                self.rounds.outcome(out, Outcome.UNSENT)
+            self._keep_back(Outcome.UNSENT)
 
     def close(self) -> None:
         for handle in (self._again, self._sweep):
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from cherrygrade.door import Nodes
+from cherrygrade.extents.carrier import Carrier, Range, note_joined
 from cherrygrade.gateway.follower import Follower
 from cherrygrade.gateway.held import Held, Out
 from cherrygrade.gateway.links import Link
@@ -18,7 +19,7 @@
 from cherrygrade.gateway.wheel import Wheel
 from cherrygrade.interface import Node, Outcome
 from cherrygrade.policy import Dispatcher
-from cherrygrade.site import Bearings, Bounds, Lines, Place, Trade
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Place, Trade
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
@@ -37,12 +38,13 @@
         lines: Lines,
         log: Callable[..., None],
         make: Callable[..., Dispatcher] = Dispatcher,
+        cuts: Cuts | None = None,
     ) -> None:
         self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
         self.hello_ms, self.come_back_ms = bounds.hello_ms, bearings.permits.come_back_ms
         self.leaving, self._lingering = False, True
-        self.held: dict[Held, None] = {}  # taken and not over; emptied by final answers and leavings
+        self.held: dict[Held | Range, None] = {}  # taken and not over; emptied by final answers and leavings
         self.sessions: dict[Session, None] = {}
         self.links: dict[Node, Link] = {}
         self.nodes = Nodes()
@@ -60,6 +62,7 @@
             key_rest_ms=bearings.key_rest_ms,
         )
         self.rounds = Rounds(dispatcher, self, self._crashed, lambda text: log("module", text=text))
+        self.ranges = Carrier(self, cuts or Cuts(), self._ask_map)
         self.follower = Follower(
             place.register,
             place.name,
@@ -67,6 +70,7 @@
             bearings.permits.must_ask,
             self.rounds.clock,
             self._heard,
+            self.ranges.heard,
             log,
         )
         self._server: asyncio.Server | None = None
@@ -117,10 +121,12 @@
             return
         self.rounds.end()
         for held in [*self.held]:
-            self._answer(held, Errored(0, "dispatcher ends"))
+            assert held.ask is not None
+            self.final(held, Errored(held.ask.id, "dispatcher ends"))
         if self._server is not None:
             self._server.close()
         self.follower.close()
+        self.ranges.close()
         for link in self.links.values():
             link.close()
         for session in [*self.sessions]:
@@ -151,40 +157,66 @@
             self.log("client left", client=session.name, peer=session.conn.peer, why=why)
             self._look_done()
 
-    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held:
-        read = isinstance(ask, ReadRpc)
-        length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
-        volume = self.trade.volumes.get(ask.volume)
+    def until(self, session: Session, ask: ReadRpc | WriteRpc) -> float:
+        """When the RPC's answer must be on its way. To be asked once an RPC."""
         now = self.rounds.clock()
         waited = session.transit.waited(ask.at_ms, now)
         workload = self.trade.workloads.get(ask.workload)
         # Clients of one workload that give themselves more time than it has would make the others look late.
         left = min(ask.left_ms, workload.deadline_ms if workload else 1e7) - waited
-        held = Held(
-            workload=workload,
+        return now + left - self.bounds.answer_ms
+
+    def make(
+        self,
+        session: Session,
+        ask: ReadRpc | WriteRpc,
+        body: Any,
+        key: str,
+        shard: int,
+        start: int,
+        length: int,
+        until: float,
+    ) -> Held:
+        volume = self.trade.volumes.get(ask.volume)
+        return Held(
+            workload=self.trade.workloads.get(ask.workload),
             plan=volume.plan if volume else None,
             volume=ask.volume,
             hosts=volume.hosts if volume else 1,
-            key=ask.key,
-            shard=ask.shard,
+            key=key,
+            shard=shard,
             units=self.trade.measure.units(length),
-            give_up_ms=now + left - self.bounds.answer_ms,
-            writes=not read,
+            give_up_ms=until,
+            writes=isinstance(ask, WriteRpc),
             repeat=ask.repeat,
             id=f"{session.name}:{ask.id}",
+            start=start,
+            length=length,
             session=session,
             ask=ask,
             body=body,
         )
-        self.held[held] = None
+
+    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held:
+        """An RPC on an extent that the client names itself."""
+        length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
+        held = self.make(session, ask, body, ask.key, ask.shard, ask.offset, length, self.until(session, ask))
         self.rounds.take(held)
         return held
 
-    def left(self, held: Held) -> None:
+    def left(self, held: Held | Range) -> None:
         self.held.pop(held, None)
-        self.rounds.leave(held)
+        if isinstance(held, Held):
+            self.rounds.leave(held)
+        else:
+            held.drop()
         self._look_done()
 
+    def look_again(self) -> None:
+        """RPCs that waited for their place have one now: the module looks at them as after a list."""
+        self.rounds.inbox.heard += [*self.nodes.by_address.values()][:1]
+        self.rounds.stir()
+
     # What the register's follower calls.
 
     def _heard(self, nodes: list[Node], answered: bool | None) -> None:
@@ -204,6 +236,8 @@
             self.links[out.node].give_up(out, Outcome.TIMED_OUT)
 
     def carry(self, out: Out, limit_ms: float) -> None:
+        if out.lead is not None:
+            return  # it goes with the one that carries it
         link = self.links.get(out.node)
         if link is None:
             link = self.links[out.node] = Link(
@@ -215,9 +249,13 @@
                 self.most_body,
                 self.lines_,
                 self.log,
+                self.ranges.stale,
             )
-        out.slot = self.wheel.put(out, out.sent_ms + limit_ms)
-        link.carry(out)
+        outs = [out, *(mate for mate in out.mates or () if isinstance(mate, Out))]
+        for one in outs:
+            one.slot = self.wheel.put(one, max(one.rpc.give_up_ms, one.sent_ms))
+        note_joined(self.ranges, out)
+        link.carry(outs)
         self._set_timer()
 
     def _set_timer(self) -> None:
@@ -240,31 +278,44 @@
         self.links[out.node].give_up(out, Outcome.CANCELLED)
 
     def answer_ok(self, held: Held, out: Out) -> None:
+        if held.range is not None:
+            held.range.ok(held)
+            return
         assert held.ask is not None
-        body = held.body if isinstance(held.ask, ReadRpc) else None
-        self._answer(held, Ok(held.ask.id, out.node.shard), body)
+        self.final(held, Ok(held.ask.id, out.node.shard), None if held.writes else held.body)
 
     def answer_rejected(self, held: Held, come_back_ms: float) -> None:
+        if held.range is not None:
+            held.range.rejected(held, come_back_ms)
+            return
         assert held.ask is not None
         reason = ""
         if held.workload is None:
             reason = f"unknown workload '{held.ask.workload}'"
         elif held.plan is None:
             reason = f"unknown volume '{held.volume}'"
-        self._answer(held, Rejected(held.ask.id, come_back_ms, reason))
+        self.final(held, Rejected(held.ask.id, come_back_ms, reason))
 
     def answer_errored(self, held: Held) -> None:
+        if held.range is not None:
+            held.range.errored(held)
+            return
+        assert held.ask is not None
         last = held.sends[-1].outcome if held.sends else None
-        self._answer(held, Errored(0, f"last send: {last.value}" if last else ""))
+        self.final(held, Errored(held.ask.id, f"last send: {last.value}" if last else ""))
 
-    def _answer(self, held: Held, message: Ok | Rejected | Errored, body: Any = None) -> None:
-        assert held.ask is not None and held.session is not None
+    def final(self, held: Held | Range, message: Ok | Rejected | Errored, body: Any = None) -> None:
+        """The one final answer."""
+        assert held.session is not None
         self.held.pop(held, None)
-        message.id = held.ask.id
-        held.session.answer(held, message, body)
-        held.body = None
+        held.session.answer(message, body)
+        if isinstance(held, Held):
+            held.body = None
         self._look_done()
 
+    def _ask_map(self, volume: str, first: int, count: int) -> None:
+        self.follower.ask_map(volume, first, count)
+
     def ask_list(self, push: bool) -> None:
         self.follower.ask(push)
 
--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -14,7 +14,7 @@
     Errored,
     Hello,
     Leave,
-    Message,
+    Ok,
     ReadRpc,
     Rejected,
     Welcome,
@@ -22,6 +22,7 @@
 )
 
 if TYPE_CHECKING:
+    from cherrygrade.extents.carrier import Range
     from cherrygrade.gateway.process import Gateway
 
 
@@ -32,7 +33,8 @@
         self.gateway = gateway
         self.conn = Connection(self, gateway.most_body)
         self.name = ""
-        self.rpcs: dict[int, Held] = {}
+        self.rpcs: dict[int, Held | Range] = {}
+        self.features: list[str] = []
         self.transit = Transit()
         self._greeting: asyncio.TimerHandle | None = None
 
@@ -53,9 +55,9 @@
         if isinstance(message, (ReadRpc, WriteRpc)) and self.name:
             self._take(message, body)
         elif isinstance(message, Leave) and self.name:
-            held = self.rpcs.pop(message.id, None)
-            if held is not None:
-                self.gateway.left(held)
+            left = self.rpcs.pop(message.id, None)
+            if left is not None:
+                self.gateway.left(left)
         elif isinstance(message, Hello) and not self.name:
             self._greet(message)
         elif isinstance(message, Bye):
@@ -72,7 +74,7 @@
             return
         assert self._greeting is not None
         self._greeting.cancel()
-        self.name = hello.name
+        self.name, self.features = hello.name, hello.features
         gateway = self.gateway
         self.conn.send(
             Welcome(min(VERSION, hello.version), gateway.name, [], gateway.most_body, gateway.most_open)
@@ -90,18 +92,24 @@
             reason = "leaving" if self.gateway.leaving else "more held than there is room for"
             self.conn.send(Rejected(ask.id, self.gateway.come_back_ms, reason))
             return
-        self.rpcs[ask.id] = self.gateway.take(self, ask, body)
+        gateway = self.gateway
+        taken = gateway.take(self, ask, body) if ask.key else gateway.ranges.take(self, ask, body)
+        if taken is not None:
+            self.rpcs[ask.id] = taken
+            gateway.held[taken] = None
 
-    def answer(self, held: Held, message: Message, body: bytearray | memoryview | None = None) -> None:
+    def answer(self, message: Ok | Rejected | Errored, body: bytearray | memoryview | None = None) -> None:
         """The final answer; nothing where the client went away meanwhile."""
-        assert held.ask is not None
-        if self.rpcs.pop(held.ask.id, None) is not None:
+        if self.rpcs.pop(message.id, None) is not None:
             self.conn.send(message, body)
             if self.conn.full:  # it does not read its answers: no more of its RPCs are read either
                 self.conn.hold_reading(True)
 
     def writable(self, conn: Connection) -> None:
         conn.hold_reading(False)
+        for rpc in [*self.rpcs.values()]:
+            if not isinstance(rpc, Held):
+                rpc.feed()
 
     def closed(self, conn: Connection, why: str) -> None:
         if self._greeting is not None:
--- a/cherrygrade/interface.py
+++ b/cherrygrade/interface.py
@@ -121,6 +121,13 @@
     """The longest come-back time a client heeds; 0 where none may be given."""
     must_ask: bool = False
     ask_within_ms: float = 0.0
+    join_length: int = 0
+    """Most bytes of a send that several RPCs share; 0: none is shared."""
+    join_most: int = 64
+    """Most RPCs that a send carries beside its own."""
+    unit_length: float = 0.0
+    """Bytes of a unit, and the least units of a send: the work of a shared one."""
+    least_units: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -153,6 +160,10 @@
     id: str = ""
     sends: list[Send] = field(default_factory=list)
     over: bool = False
+    start: int = 0
+    length: int = 0
+    joins: bool = False
+    """May share a send with neighbours of its volume and key: bytes from start, length of them."""
 
 
 @dataclass(slots=True, eq=False)
@@ -170,6 +181,12 @@
     elsewhere: float = 0.0
     """Units this node did for the volume through other dispatchers since its last answer here."""
     load: dict[str, float] = field(default_factory=dict)
+    units: float = 0.0
+    """Work of a send that carries others too; 0: its RPC's own."""
+    mates: list[Send] | None = None
+    """Those that it carries."""
+    lead: Send | None = None
+    """The one that carries it: one send on the wire, told apart by RPC in all else."""
 
 
 class Writer(Protocol):
--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/broken.py
@@ -13,7 +13,6 @@
 from typing import Any
 
 from cherrygrade.gateway import roster
-from cherrygrade.gateway.held import Held
 from cherrygrade.gateway.process import Gateway, serve
 from cherrygrade.interface import Effect, Standing
 from cherrygrade.logs import make_log
@@ -24,15 +23,15 @@
 
 def _loses(site: Site) -> Site:
     """One answer in twenty is never given."""
-    usual: Callable[..., None] = Gateway._answer
+    usual: Callable[..., None] = Gateway.final
     count = [0]
 
-    def answer(self: Gateway, held: Held, message: Any, body: Any = None) -> None:
+    def final(self: Gateway, held: Any, message: Any, body: Any = None) -> None:
         count[0] += 1
         if count[0] % 20:
             usual(self, held, message, body)
 
-    Gateway._answer = answer  # type: ignore[method-assign]
+    Gateway.final = final  # type: ignore[method-assign]
     return site
 
 
@@ -92,7 +91,9 @@
     site = WAYS[int(sys.argv[1])](read_site(Path(sys.argv[2])))
 
     async def run() -> int:
-        gateway = Gateway(site.place, site.trade, site.bearings, site.bounds, site.lines, make_log("json"))
+        gateway = Gateway(
+            site.place, site.trade, site.bearings, site.bounds, site.lines, make_log("json"), cuts=site.cuts
+        )
         return await serve(gateway, lambda port: print(f"listening {port}", flush=True))
 
     return asyncio.run(run())
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -141,7 +141,7 @@
 
     def went(self, job: Job, send: Send) -> None:
         self.last, self.sends[send] = send, job
-        job.overdue = send.sent_ms + 1.5 * self.tight + self.expected(send.rpc.units)
+        job.overdue = send.sent_ms + 1.5 * self.tight + self.expected(send.units or send.rpc.units)
         self.rode, job.lost = self.busy >= self.slots(), False
         self.busy, self.batch_out = self.busy + 1, self.batch_out + (not job.pressed)
 
@@ -161,7 +161,8 @@
             self.next_step += owed * INTERVAL_MS
         for send, job in self.sends.items():  # where answers are rare, what stays out tells of waiting
             if not (send.outcome or job.lost or self.last_answer > send.sent_ms - RARE_MS):  # not our gap
-                self.queue_ms = max(self.queue_ms, now - send.sent_ms - send.rpc.units * self.unit_ms)
+                work = (send.units or send.rpc.units) * self.unit_ms
+                self.queue_ms = max(self.queue_ms, now - send.sent_ms - work)
         if now >= self.next_window:
             self.resize()
             self.next_window += ((now - self.next_window) // WINDOW_MS + 1.0) * WINDOW_MS
@@ -219,7 +220,12 @@
     def answered(self, send: Send, now: float, patience: float) -> None:
         job, silent = self.sends.pop(send), now - self.last_answer
         self.free(job)
-        outcome, rate = send.outcome, send.took_ms / max(send.rpc.units, 1e-6)
+        work = send.units or send.rpc.units
+        outcome, rate = send.outcome, send.took_ms / max(work, 1e-6)
+        if send.lead:  # the one that carried it tells of the node
+            soft = send.rpc.workload.soft_ms
+            seen = (now, (send.sent_ms + send.took_ms - job.taken) / soft)
+            return self.views.extend([seen] * (job.pressed and outcome is Outcome.OK))
         if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
         if outcome in (Outcome.OK, Outcome.ERRORED, Outcome.FULL):
@@ -235,7 +241,7 @@
                 unit = lane.unit_ms or lane.others.unit_ms or rate
                 lane.unit_ms = unit * (0.7 if 2 * rate < unit else (0.98 if rate <= unit else 1.002) ** steps)
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
-            wait, soft = max(0.0, send.took_ms - send.rpc.units * self.unit_ms), send.rpc.workload.soft_ms
+            wait, soft = max(0.0, send.took_ms - work * self.unit_ms), send.rpc.workload.soft_ms
             # What was seen long ago counts for little.
             fresh = 0.2 if silent < RARE_MS else 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
@@ -506,14 +512,49 @@
                 if opens > now:
                     lane.due = min(lane.due, opens)
                     continue
-                lane.charge(job)
-                job.join(None)
-                self.gate.sent(job, lane, now)
-                lane.went(job, writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now))
+                send = self.go(job, lane, now, writer)
+                if job.rpc.joins and self.permits.join_length and not lane.strikes:
+                    self.take_along(job, send, lane, now, writer)
+                lane.went(job, send)
                 lane.due = min(lane.due, job.overdue)
                 return True
         return False
 
+    def go(self, job: Job, lane: Lane, now: float, writer: Writer) -> Send:
+        lane.charge(job)
+        job.join(None)
+        self.gate.sent(job, lane, now)
+        return writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)
+
+    def take_along(self, job: Job, send: Send, lane: Lane, now: float, writer: Writer) -> None:
+        """What waits here anyway and adjoins shares the send and its slot, while nobody turns late by it.
+        Reads may overlap, writes only touch; each passes the gate and is charged as if it went alone."""
+        rpc, permits = job.rpc, self.permits
+        low, high = rpc.start, rpc.start + rpc.length
+        soft = job.soft if now + lane.expected(rpc.units) <= job.soft else NEVER
+        waiting = [held for held in [*lane.pressed, *lane.batch] if held.rpc.joins and held.rpc.key == rpc.key
+                   and held.rpc.volume == rpc.volume and held.rpc.writes == rpc.writes]
+        tried = len(waiting) + 1
+        while waiting and len(waiting) < tried:  # each that joined may bring its neighbours within reach
+            tried, far = len(waiting), []
+            for held in waiting:
+                first, last = held.rpc.start, held.rpc.start + held.rpc.length
+                wide = max(high, last) - min(low, first)
+                units = max(permits.least_units, wide / permits.unit_length)
+                own = held.soft if now + lane.expected(held.rpc.units) <= held.soft else NEVER
+                near = last == low or first == high if rpc.writes else first <= high and low <= last
+                full = wide > permits.join_length or len(send.mates or ()) >= permits.join_most
+                if (not near or full or now + lane.expected(units) > min(soft, own)
+                        or self.gate.opens(held, lane, now) > now):
+                    far.append(held)
+                    continue
+                mate = self.go(held, lane, now, writer)
+                lane.sends[mate], held.lost, held.overdue = held, True, NEVER  # it holds no slot of its own
+                mate.lead, send.units, soft = send, units, min(soft, own)
+                send.mates = [*(send.mates or ()), mate]
+                low, high = min(low, first), max(high, last)
+            waiting = far
+
     def settle(self, send: Send, now: float, writer: Writer) -> None:
         lane, rpc = self.lanes[send.node], send.rpc
         self.stir(lane, now)
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -10,7 +10,7 @@
 
 from cherrygrade.records.grammar import RecordSyntaxError, parse
 from cherrygrade.records.lattice import Vertex, unify
-from cherrygrade.site import Bearings, Bounds, Lines, Measure, Place, Site, Trade, Volume
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Place, Site, Trade, Volume
 
 T = TypeVar("T")
 
@@ -71,6 +71,7 @@
     key_rest_ms: float
     bounds: Bounds
     lines: Lines
+    extents: Cuts
     budget: Any = None
 
 
@@ -81,8 +82,16 @@
     trade = convert(
         {"workloads": record.workloads, "volumes": record.volumes, "measure": record.measure}, Trade
     )
+    cuts = record.extents
+    given["permits"] = {
+        **value["permits"],
+        "join_length": cuts.most_join if cuts.merge else 0,
+        "join_most": cuts.most_mates,
+        "unit_length": record.measure.bytes_per_unit,
+        "least_units": record.measure.least_units,
+    }
     bearings = convert({**given, "key_rest_ms": record.key_rest_ms}, Bearings)
-    return Site(record.place, trade, bearings, record.bounds, record.lines)
+    return Site(record.place, trade, bearings, record.bounds, record.lines, cuts)
 
 
 def read_site(path: Path, extra: str = "") -> Site:
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -84,6 +84,20 @@
     idle_ms: float = 15000.0
 
 
+@dataclass(frozen=True, slots=True)
+class Cuts:
+    """How ranges are cut and joined. Bytes; pieces of one RPC out at once, in all and for one shard; the part
+    of an RPC's soft deadline that it may wait for company."""
+
+    merge: bool = True
+    most_join: int = 65536
+    most_mates: int = 64
+    most_piece: int = 65536
+    pieces: int = 8
+    pieces_a_shard: int = 2
+    hold_part: float = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     place: Place
@@ -91,3 +105,4 @@
     bearings: Bearings
     bounds: Bounds
     lines: Lines
+    cuts: Cuts
--- a/cherrygrade/standin/node.py
+++ b/cherrygrade/standin/node.py
@@ -18,7 +18,7 @@
 from cherrygrade.wire.frames import encode
 from cherrygrade.wire.messages import VERSION, Answer, Hello, ReadSend, Welcome, Withdraw, WriteSend
 
-OK, ERRORED, FULL = 0, 1, 2
+OK, ERRORED, FULL, NOT_HERE, NEWER = 0, 1, 2, 3, 4
 
 
 @dataclass(slots=True)
@@ -115,6 +115,8 @@
         self.record = record or Record()
         self.chance = random.Random(seed)
         self.bytes: dict[tuple[str, str], bytearray] = {}
+        self.versions: dict[tuple[str, str], int] = {}  # of the extents that it holds
+        self.bad: list[tuple[str, str, int, int]] = []  # ranges that cannot be read nor written
         self.tokens: dict[bytes, float] = {}  # until when a repeat is known; cleared as they run out
         self.doors: dict[NodeDoor, None] = {}
         self.starts = 0
@@ -274,6 +276,19 @@
             round(send.limit_ms, 1),
             round(self.warmth(now), 3),
         )
+        for origin, number in send.others:
+            self.record.note(
+                "recv",
+                door.name,
+                origin,
+                number,
+                kind,
+                send.volume,
+                send.key,
+                0.0,
+                round(send.limit_ms, 1),
+                1.0,
+            )
         work = Work(door, send, body, send.units * self.build.unit_ms)
         door.works[send.id] = work
         if self._pushed_over(send.units, now):
@@ -329,7 +344,12 @@
     def _finish(self, work: Work) -> None:
         send = work.send
         assert send is not None
-        held = self.bytes.setdefault((send.volume, send.key), bytearray())
+        place = (send.volume, send.key)
+        if send.version >= 0 and self.versions.get(place) != send.version:
+            newer = self.versions.get(place, -1) > send.version
+            self._answer(work, NEWER if newer else NOT_HERE)
+            return
+        held = self.bytes.setdefault(place, bytearray())
         if isinstance(send, WriteSend):
             self._write(held, send, work.body)
             if self.build.put_off:
@@ -375,7 +395,16 @@
         else:
             self.seen[(door.name, send.volume)] = others
             load = {"waiting": float(len(self.queue)), "in_hand": float(self.running)}
-        answer = Answer(send.id, code, load, -1.0, elsewhere)
+        length = send.length if isinstance(send, ReadSend) else len(work.body or b"")
+        failed = [
+            (first, last - first)
+            for volume, key, first, last in self.bad
+            if (volume, key) == (send.volume, send.key)
+            and first < send.offset + length
+            and send.offset < last
+        ]
+        version = self.versions.get((send.volume, send.key), -1)
+        answer = Answer(send.id, code, load, -1.0, elsewhere, failed, version)
         if door.cut:
             self.record.note("reset", door.name, send.origin, send.number)
             return
@@ -387,7 +416,8 @@
             door.conn.send_raw(whole[: len(whole) // 2])
             asyncio.get_running_loop().call_later(0.005, door.conn.abort, "reset amid an answer")
             return
-        self.record.note("answer", door.name, send.origin, send.number, code)
+        for origin, number in [(send.origin, send.number), *send.others]:
+            self.record.note("answer", door.name, origin, number, code)
         if self.trickle or door.drips:  # what drips must end before anything follows it
             door.trickle(encode(answer, len(body or b"")) + (body or b""), self.trickle or 65536)
         else:
--- a/cherrygrade/standin/register.py
+++ b/cherrygrade/standin/register.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any
 
 from cherrygrade.standin.control import open_control, port_of
 from cherrygrade.standin.record import Record
 from cherrygrade.transport.connection import Connection
-from cherrygrade.wire.messages import VERSION, Entry, Follow, Hello, Roster, Welcome
+from cherrygrade.wire.messages import VERSION, AskMap, Entry, Follow, Hello, MapPart, Roster, Welcome
+
+
+@dataclass(slots=True)
+class Volume:
+    size: int
+    extent_bytes: int
+    homes: list[tuple[int, int]]  # shard and version
 
 
 class RegisterDoor:
@@ -29,6 +37,8 @@
         if isinstance(message, Hello):
             self.name = message.name
             conn.send(Welcome(VERSION, "register"))
+        elif isinstance(message, AskMap) and not self.register.silent:
+            self.register.tell_map(self, message.volume, message.first, message.count)
         elif isinstance(message, Follow) and not self.register.silent:
             self.push = message.push
             self.register.tell_whole(self)
@@ -50,6 +60,8 @@
         self.born: dict[tuple[str, int], float] = {}
         self.lists: list[dict[str, Entry]] = [{}]  # each published version; the laboratory's days are short
         self.true: dict[str, Entry] = {}
+        self.volumes: dict[str, Volume] = {}
+        self.asked = 0  # how often it was asked for a map
         self._server: asyncio.Server | None = None
         self._control: asyncio.Server | None = None
 
@@ -121,6 +133,33 @@
         else:
             self.publish(changed)
 
+    def volume(self, name: str, size: int, extent_bytes: int, shards: list[int]) -> None:
+        """A volume whose extents lie on these shards, each at version 1."""
+        self.volumes[name] = Volume(size, extent_bytes, [(shard, 1) for shard in shards])
+
+    def move(self, name: str, extent: int, shard: int, *, told: bool = True) -> int:
+        """The extent lies elsewhere now; gives its new version. Followers hear of it `lag_ms` later."""
+        volume = self.volumes[name]
+        volume.homes[extent] = (shard, volume.homes[extent][1] + 1)
+        if told:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.lag_ms / 1000.0, self._tell_move, name, extent)
+        return volume.homes[extent][1]
+
+    def _tell_move(self, name: str, extent: int) -> None:
+        for door in [*self.doors]:
+            if door.push and not self.silent:
+                self.tell_map(door, name, extent, 1)
+
+    def tell_map(self, door: RegisterDoor, name: str, first: int, count: int) -> None:
+        self.asked += 1
+        volume = self.volumes.get(name)
+        if volume is not None:
+            homes = volume.homes[first : first + count]
+            for at in range(0, len(homes), 256):  # a header bounds how much one word can say
+                part = homes[at : at + 256]
+                door.conn.send(MapPart(name, self.epoch, volume.size, volume.extent_bytes, first + at, part))
+
     def publish(self, changed: dict[str, Entry]) -> None:
         base = len(self.lists) - 1
         self.lists.append({**self.lists[-1], **changed})
--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Sequence
 from typing import Any, Protocol
 
 from cherrygrade.wire.frames import FrameReader, ProtocolError, encode
@@ -94,17 +95,23 @@
         """More waits for the peer than the high mark; `writable` is told once it is under the low one."""
         return self._full
 
-    def send(self, message: Message, body: Bytes | None = None, flags: int = 0) -> None:
-        """Hand a frame over; it goes out with what else this turn of the event loop hands over."""
+    def send(self, message: Message, body: Bytes | None = None, more: Sequence[Bytes | None] = ()) -> None:
+        """Hand a frame over; it goes out with what else this turn of the event loop hands over.
+
+        The body may stand in several places: `more` follows it, nothing is joined here.
+        """
         if not self.open or self._closing:
             return
         length = 0 if body is None else len(body)
-        head = encode(message, length, flags)
+        length += sum(len(piece) for piece in more if piece is not None)
+        head = encode(message, length)
         self._pieces.append(head)
         self.waiting += len(head) + length
-        if length:
-            assert body is not None
+        if body:
             self._pieces.append(body)
+        for piece in more:
+            if piece:
+                self._pieces.append(piece)
         if self.waiting > self.high:
             self._full = True
         if not self._flushing:
--- a/cherrygrade/wire/frames.py
+++ b/cherrygrade/wire/frames.py
@@ -16,7 +16,7 @@
 
 HEAD = struct.Struct(">BBHI")  # kind, flags, header's length, body's length
 MAY_PASS = 1  # flag: a reader that does not know this kind passes it over
-MOST_HEADER = 4096
+MOST_HEADER = 16384
 SCRATCH = 64 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cherrygrade/wire/messages.py
+++ b/cherrygrade/wire/messages.py
@@ -104,6 +104,16 @@
     shard: Shard = -1
 
 
+class Part(Message):
+    """Bytes of a read whose answer is to come: the body stands at this place of what was asked for.
+
+    A place may come again, with other bytes: the last before the Ok hold.
+    """
+
+    id: Id
+    at: Bytes
+
+
 class Rejected(Message):
     """Trying again is harmless; 0 where no come-back time may be given."""
 
@@ -132,6 +142,10 @@
     limit_ms: float
     number: int
     hosts: int = 1
+    version: int = -1
+    """Of the extent that the dispatcher believes in; -1: no extent."""
+    others: list[tuple[Name, int]] = []
+    """Origin and number of the sends that this one carries too, for records only."""
 
 
 class WriteSend(Message):
@@ -147,6 +161,8 @@
     token: Token = b""
     token_ms: Ms = 0.0
     append: bool = False
+    version: int = -1
+    others: list[tuple[Name, int]] = []
 
 
 class Withdraw(Message):
@@ -156,13 +172,16 @@
 
 
 class Answer(Message):
-    """A node's answer to a send. Code: 0 ok, 1 errored, 2 full (it never ran)."""
+    """A node's answer to a send. Code: 0 ok, 1 errored; of those that never ran 2 full, 3 not here, and
+    4 held at a newer version. Failed: ranges, start and length, that an ok answer does not vouch for."""
 
     id: Id
     code: int = 0
     load: dict[str, float] = {}
     used: float = -1.0
     elsewhere: float = 0.0
+    failed: list[tuple[int, int]] = []
+    version: int = -1
 
 
 class Entry(Message):
@@ -198,6 +217,25 @@
         return self.base < 0
 
 
+class AskMap(Message):
+    """Ask the register for a volume's extents from `first` on; changes are pushed to followers."""
+
+    volume: Name
+    first: int = 0
+    count: int = 2**31
+
+
+class MapPart(Message):
+    """Where extents from `first` on lie: shard and version each."""
+
+    volume: Name
+    epoch: int
+    size: Bytes
+    extent_bytes: int
+    first: int
+    homes: list[tuple[int, int]]
+
+
 class Control(Message):
     """The laboratory's word to a stand-in."""
 
@@ -220,12 +258,15 @@
     13: Ok,
     14: Rejected,
     15: Errored,
+    16: Part,
     20: ReadSend,
     21: WriteSend,
     22: Withdraw,
     23: Answer,
     30: Follow,
     31: Roster,
+    32: AskMap,
+    33: MapPart,
     40: Control,
     41: Done,
 }
--- a/tests/house.py
+++ b/tests/house.py
@@ -25,7 +25,9 @@
     {"v": Volume(PLAN, 1)},
     Measure(4096.0, 1.0),
 )
-PERMITS = Permits(most_sends=4, cancel=True, come_back_ms=500.0)
+PERMITS = Permits(
+    most_sends=4, cancel=True, come_back_ms=500.0, join_length=65536, unit_length=4096.0, least_units=1.0
+)
 
 
 class House:
@@ -46,6 +48,21 @@
             self.register.set(node.address, zone, shard, "live", 1, 1e6)
         return node
 
+    def volume(self, name: str = "v", extents: int = 8, extent_bytes: int = 16384) -> None:
+        """A volume whose extents lie on the nodes in turn."""
+        shards = [index % len(self.nodes) for index in range(extents)]
+        self.register.volume(name, extents * extent_bytes, extent_bytes, shards)
+        for index, shard in enumerate(shards):
+            self.nodes[shard].versions[(name, f"e{index}")] = 1
+
+    def move(self, extent: int, to: int, name: str = "v", *, told: bool = True) -> None:
+        """Bytes and all, at once; the dispatcher hears of it later, or from the node."""
+        place = (name, f"e{extent}")
+        source = next(node for node in self.nodes if place in node.versions)
+        del source.versions[place]
+        self.nodes[to].bytes[place] = source.bytes.pop(place, bytearray())
+        self.nodes[to].versions[place] = self.register.move(name, extent, to, told=told)
+
     def list(self, node: Node, standing: str) -> None:
         self.register.set(node.address, "", -1, standing, node.starts, 0.0)
 
@@ -76,7 +93,7 @@
             bounds or Bounds(),
             lines or Lines(),
             lambda event, **facts: self.logs.append((event, facts)),
-            **({"make": more["make"]} if "make" in more else {}),
+            **{name: more[name] for name in ("make", "cuts") if name in more},
         )
         port = await gateway.start()
         gateway.address = f"127.0.0.1:{port}"  # type: ignore[attr-defined]
