--- a/tests/test_extents.py
+++ b/tests/test_extents.py
@@ -378,7 +378,7 @@
 @given(steps, st.booleans(), st.sampled_from([128, 512, 4096]))
 @settings(max_examples=25, deadline=None)
 def test_whatever_happens_the_bytes_are_those_of_a_plain_volume(steps, merge, most_piece):
-    """Against a plain model: ok answers have its bytes, each RPC one answer; a failed write may hold or not."""
+    """Against a plain model: ok answers have its bytes, each RPC one answer, failed writes hold or not."""
 
     async def story(house: House) -> None:
         for shard in range(3):
