--- a/cherrygrade/lab/load.py
+++ b/cherrygrade/lab/load.py
@@ -91,13 +91,21 @@
         """Write the objects that streams will read."""
         wanted = []
         for number, stream in enumerate(self.scenario.traffic):
-            if stream.verb == "new":
+            if stream.verb in ("new", "run"):
                 continue
             for volume in stream.volumes:
                 for index in range(stream.keys):
                     if index % self.scenario.loaders == self.index:
                         wanted.append((stream, volume, f"s{number}-{index}"))
         slots = asyncio.Semaphore(16)
+        ranged = {
+            (volume, block): stream
+            for stream in self.scenario.traffic
+            if stream.verb == "run"
+            for volume in stream.volumes
+            for block in range(self._blocks(volume, stream))
+            if block % self.scenario.loaders == self.index
+        }
 
         async def one(stream: Stream, volume: str, key: str) -> None:
             async with slots:
@@ -115,6 +123,29 @@
 
         await asyncio.gather(*(one(*each) for each in wanted))
 
+        async def block(stream: Stream, volume: str, number: int) -> None:
+            body = content(f"{volume}/{number}", stream.length)
+            for _ in range(50):
+                async with slots:
+                    answer = await self.client(volume).write(
+                        stream.workload,
+                        volume,
+                        "",
+                        body,
+                        offset=number * stream.length,
+                        deadline_ms=self.trade.workloads[stream.workload].deadline_ms,
+                    )
+                if isinstance(answer, Ok):
+                    return
+                await asyncio.sleep(0.05)
+            raise SystemExit(f"{volume}, block {number} could not be prepared: {answer}")
+
+        await asyncio.gather(*(block(stream, volume, number) for (volume, number), stream in ranged.items()))
+
+    def _blocks(self, volume: str, stream: Stream) -> int:
+        ranges = self.scenario.ranges[volume]
+        return min(stream.keys, ranges.extents * ranges.extent_bytes // stream.length)
+
     async def run(self, start: float) -> None:
         """The day; `start` is the event loop's time, ms."""
         loop = asyncio.get_running_loop()
@@ -138,9 +169,15 @@
             wait = (start + at) / 1000.0 - loop.time()
             if wait > 0.0:
                 await asyncio.sleep(wait)
-            task = loop.create_task(self._operation(number, stream, at, keys))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            volume = self.chance.choice(stream.volumes)
+            first = self.chance.randrange(self._blocks(volume, stream)) if stream.verb == "run" else 0
+            for step in range(stream.run):
+                block = (volume, str(first + step)) if stream.verb == "run" else None
+                if block is not None and first + step >= self._blocks(volume, stream):
+                    break
+                task = loop.create_task(self._operation(number, stream, at, keys, block))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
 
     def _surge(self, number: int, at: float) -> float:
         factor = 1.0
@@ -149,7 +186,14 @@
                 factor *= trouble.size
         return factor
 
-    async def _operation(self, number: int, stream: Stream, at: float, keys: list[tuple[str, str]]) -> None:
+    async def _operation(
+        self,
+        number: int,
+        stream: Stream,
+        at: float,
+        keys: list[tuple[str, str]],
+        block: tuple[str, str] | None = None,
+    ) -> None:
         loop, chance = asyncio.get_running_loop(), self.chance
         self.count += 1
         op = f"{self.index}.{self.count}"
@@ -161,7 +205,9 @@
                 if trouble.kind == "heavy" and chance.random() < 0.02:
                     length = int(length * trouble.size)
                 hot = hot or (trouble.kind == "hot" and chance.random() < trouble.size)
-        if stream.verb == "new":
+        if block is not None:
+            volume, key = block
+        elif stream.verb == "new":
             volume, key = chance.choice(stream.volumes), f"n{op}"
         else:
             volume, key = keys[0] if hot else chance.choice(keys)
@@ -199,6 +245,18 @@
         repeat: bool,
     ) -> Answer:
         client = self.client(volume)
+        if stream.verb == "run":
+            answer = await client.read(
+                stream.workload,
+                volume,
+                offset=int(key) * stream.length,
+                length=stream.length,
+                deadline_ms=left,
+                repeat=repeat,
+            )
+            if isinstance(answer, Ok) and bytes(answer.body) != content(f"{volume}/{key}", stream.length):
+                self.record.note("wrong bytes", op, volume, key)
+            return answer
         shard = self.homes.get((volume, key), -1)
         if stream.verb == "read":
             answer = await client.read(
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -178,6 +178,22 @@
         for index in range(len(self.nodes)):
             await self._list(index, "live", age_ms=1e7)
         await self.listed.say("lag", value=scenario.lag_ms)
+        for name, volume in scenario.ranges.items():
+            await self.listed.say(
+                "volume",
+                name=name,
+                size=float(volume.extents * volume.extent_bytes),
+                extent_bytes=float(volume.extent_bytes),
+                shards=float(len(self.nodes)),
+            )
+            for index, (_, control) in enumerate(self.nodes):
+                await control.say(
+                    "extents",
+                    volume=name,
+                    first=float(index),
+                    step=float(len(self.nodes)),
+                    count=float(volume.extents),
+                )
         self.dispatchers = [Child(f"dispatcher-{number}", folder) for number in range(scenario.dispatchers)]
         await asyncio.gather(*(self._launch(number) for number in range(scenario.dispatchers)))
 
--- a/cherrygrade/lab/scenario.py
+++ b/cherrygrade/lab/scenario.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +30,13 @@
     keys: int
     retries: int
     honour: float
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class RangeVolume:
+    extents: int
+    extent_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +65,7 @@
     traffic: list[Stream]
     troubles: list[Trouble]
     site: dict[str, Any]
+    ranges: dict[str, RangeVolume] = field(default_factory=dict)
 
 
 def read_scenario(path: Path, extra: str = "") -> Scenario:
