--- a/cherrygrade/extents/carrier.py
+++ b/cherrygrade/extents/carrier.py
@@ -23,6 +23,7 @@
     from cherrygrade.gateway.sessions import Session
 
 ASK_AGAIN_MS = 250.0
+TELL_MS = 60_000.0
 PARTS = "parts"  # the feature of clients that take a read's bytes as they come
 
 
@@ -140,7 +141,10 @@
         self.astray: dict[tuple[str, int], list[Held]] = {}
         self.unmapped: dict[str, list[Range]] = {}
         self.company: dict[tuple[str, int], list[Held]] = {}
-        self.joined = self.held_vain = 0  # RPCs that went with others; holds that met nobody
+        # RPCs that went with others; those that went as pieces; holds that met nobody; old entries met.
+        self.joined = self.split = self.held_vain = self.stales = 0
+        self._telling: asyncio.TimerHandle | None = None
+        self._tell()
         self._again: asyncio.TimerHandle | None = None
 
     def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held | Range | None:
@@ -171,6 +175,7 @@
             return None
         if len(stretches) > 1:
             range_ = Range(self, session, ask, body, gateway.until(session, ask))
+            self.split += 1
             range_.plan()
             return range_
         held = self._single(session, ask, body, stretches[0])
@@ -250,6 +255,7 @@
 
     def stale(self, held: Held) -> None:
         """A node's answer told that the map is old: the RPC waits for the newer word, in the module."""
+        self.stales += 1
         self.map.forget(held.volume, held.extent, held.version)
         shard, version = self.map.home(held.volume, held.extent)
         held.shard = shard
@@ -313,5 +319,22 @@
             range_.plan()
 
     def close(self) -> None:
-        if self._again is not None:
-            self._again.cancel()
+        self._tell()
+        for timer in (self._again, self._telling):
+            if timer is not None:
+                timer.cancel()
+
+    def _tell(self) -> None:
+        """What merging and splitting did since the last line; silent where they did nothing."""
+        if self.joined or self.split or self.held_vain or self.stales:
+            self.gateway.log(
+                "ranges",
+                joined=self.joined,
+                split=self.split,
+                held_vain=self.held_vain,
+                stale=self.stales,
+                astray=len(self.astray),
+                unmapped=len(self.unmapped),
+            )
+        self.joined = self.split = self.held_vain = self.stales = 0
+        self._telling = asyncio.get_running_loop().call_later(TELL_MS / 1000.0, self._tell)
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -10,7 +10,7 @@
 
 from cherrygrade.client import Client, Errored, Ok, Rejected
 from cherrygrade.gateway.process import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN
-from cherrygrade.interface import Outcome
+from cherrygrade.interface import Outcome, Permits
 from cherrygrade.policy import Dispatcher
 from cherrygrade.site import Bounds, Lines
 from cherrygrade.standin.node import Build
@@ -375,3 +375,48 @@
         assert out.outcome is Outcome.OK and len(gateway.rounds.inbox.answers) == before
 
     run(story)
+
+
+def test_one_byte_at_a_time_from_a_client_and_to_one():
+    async def story(house: House) -> None:
+        from cherrygrade.wire.frames import encode
+        from cherrygrade.wire.messages import VERSION, Hello, ReadRpc, WriteRpc
+
+        await house.node()
+        gateway = await house.gateway()
+        reader, writer = await asyncio.open_connection(*gateway.address.split(":"))
+        words = [encode(Hello(VERSION, "client", "raw")),
+                 encode(WriteRpc(1, "write", "v", "k", -1, 0, 1400.0), 5) + b"bytes",
+                 encode(ReadRpc(2, "read", "v", "k", 0, 0, 5, 1400.0))]
+        got = b""
+        for word in words:
+            for at in range(len(word)):
+                writer.write(word[at : at + 1])
+                await asyncio.sleep(0)
+            while not got.endswith(b"bytes") and len(got) < 10:
+                got += await reader.read(1)
+            await asyncio.sleep(0.03)
+        while not got.endswith(b"bytes"):
+            got += await asyncio.wait_for(reader.read(1), 1.0)
+        assert not gateway.held
+        writer.close()
+
+    run(story)
+
+
+def test_where_the_list_must_be_asked_for_it_is_and_again_after_the_register_was_lost():
+    async def story(house: House) -> None:
+        await house.node()
+        permits = Permits(most_sends=4, come_back_ms=500.0, must_ask=True, ask_within_ms=300.0)
+        gateway = await house.gateway(permits=permits)
+        assert not gateway.follower._asked
+        asked = [line for line in house.register.record.lines if line[1] == "told"]
+        for door in [*house.register.doors]:
+            door.conn.abort("cut")
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            if len([line for line in house.register.record.lines if line[1] == "told"]) > len(asked):
+                return
+        raise AssertionError("never asked again")
+
+    run(story)
