Slow peers, first part: rates while waited for, steps with a way back, cutting off

Change: peers/ (rate, ladder: free of I/O; watch), held and narrow before cut, memory over reconnects, the least rate rises with scarcity; nobody is cut for our own stall or where everybody is slow. Didn't help: starting a returned peer one step up (socket buffers look like fast reading); half the grace does.

--- a/cherrygrade/extents/carrier.py
+++ b/cherrygrade/extents/carrier.py
@@ -15,6 +15,7 @@
 from cherrygrade.extents.parent import End, Parent, Piece
 from cherrygrade.gateway.held import Held
 from cherrygrade.interface import Effect
+from cherrygrade.peers.ladder import Step
 from cherrygrade.site import Cuts
 from cherrygrade.wire.messages import Errored, MapPart, Ok, Part, ReadRpc, Rejected, WriteRpc
 
@@ -58,7 +59,8 @@
     def feed(self) -> None:
         """Take more pieces while the client takes what comes: what is out and what waits count alike."""
         session = self.session
-        if session.conn.waiting + session.flying >= session.conn.high:
+        narrow = session.slow >= Step.NARROW and bool(session.conn.waiting or session.flying)
+        if narrow or session.conn.waiting + session.flying >= session.conn.high:
             session.hungry[self] = None
             return
         session.hungry.pop(self, None)
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -12,14 +12,15 @@
 from cherrygrade.extents.carrier import Carrier, Range
 from cherrygrade.gateway.follower import Follower
 from cherrygrade.gateway.held import Held, Out
-from cherrygrade.gateway.links import Link
+from cherrygrade.gateway.links import Link, NodeLine
 from cherrygrade.gateway.roster import Book
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.sessions import Session
 from cherrygrade.gateway.wheel import Wheel
 from cherrygrade.interface import Node, Outcome
+from cherrygrade.peers.watch import Watch
 from cherrygrade.policy import Dispatcher
-from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Place, Trade
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Pace, Place, Trade
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
@@ -39,6 +40,7 @@
         log: Callable[..., None],
         make: Callable[..., Dispatcher] = Dispatcher,
         cuts: Cuts | None = None,
+        pace: Pace | None = None,
     ) -> None:
         self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
@@ -73,6 +75,7 @@
             self.ranges.heard,
             log,
         )
+        self.watch = Watch(pace or Pace(), lambda: self.sessions, self._node_lines, self.come_back_ms, log)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
@@ -85,6 +88,8 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Session(self).conn, host, int(port), backlog=1024)
         self.follower.start()
+        if self.watch.pace.watch:
+            self.watch.start()
         if self.follower.must_ask:
             self.rounds.stir()  # the first round asks for the list
         bound: int = self._server.sockets[0].getsockname()[1]
@@ -127,6 +132,7 @@
             self._server.close()
         self.follower.close()
         self.ranges.close()
+        self.watch.close()
         for link in self.links.values():
             link.close()
         for session in [*self.sessions]:
@@ -140,6 +146,9 @@
         self.log("module broke", round=round_, traceback="".join(traceback.format_exception(trouble)))
         self._end(LEFT_BROKEN)
 
+    def _node_lines(self) -> list[NodeLine]:
+        return [line for link in self.links.values() for line in link.lines.values()]
+
     # What sessions call.
 
     @property
--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -7,6 +7,7 @@
 
 from cherrygrade.gateway.held import Held
 from cherrygrade.gateway.transit import Transit
+from cherrygrade.peers.ladder import Step
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import (
     VERSION,
@@ -37,6 +38,7 @@
         self.features: list[str] = []
         self.flying = 0  # bytes of pieces that are out for this client
         self.hungry: dict[Range, None] = {}  # wait for room here; emptied by it and by their ends
+        self.slow = Step.FREE
         self.transit = Transit()
         self._greeting: asyncio.TimerHandle | None = None
 
@@ -108,7 +110,10 @@
                 self.conn.hold_reading(True)
 
     def writable(self, conn: Connection) -> None:
-        conn.hold_reading(False)
+        conn.hold_reading(self.slow >= Step.HELD)
+        self.feed_hungry()
+
+    def feed_hungry(self) -> None:
         for range_ in [*self.hungry]:
             range_.feed()
 
--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/broken.py
@@ -92,7 +92,14 @@
 
     async def run() -> int:
         gateway = Gateway(
-            site.place, site.trade, site.bearings, site.bounds, site.lines, make_log("json"), cuts=site.cuts
+            site.place,
+            site.trade,
+            site.bearings,
+            site.bounds,
+            site.lines,
+            make_log("json"),
+            cuts=site.cuts,
+            pace=site.pace,
         )
         return await serve(gateway, lambda port: print(f"listening {port}", flush=True))
 
--- /dev/null
+++ b/cherrygrade/peers/ladder.py
@@ -0,0 +1,72 @@
+"""Steps against a slow peer, each with a way back, and the least rate. Free of I/O, clock and chance."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+BACK = 1.5  # a step is taken back at this much above the least rate: no peer flaps on the line
+MANY = 0.5  # where more than this part of those waited for is slow, the network is, and nobody is cut
+FEW = 8  # peers waited for, under which their part says nothing
+
+
+class Step(IntEnum):
+    FREE = 0
+    HELD = 1  # no new RPCs are read from it
+    NARROW = 2  # and nothing large is begun for it
+    CUT = 3
+
+
+def least_rate(floor: float, top: float, used: float, room: float) -> float:
+    """Bytes a second that a peer must move: the floor while half of the room is free, the top at its end."""
+    scarce = max(0.0, min(1.0, (used / max(room, 1.0) - 0.5) * 2.0))
+    return floor + (top - floor) * scarce
+
+
+class Ladder:
+    """One peer's standing. Up a step each time the grace passes below the least rate, down one each time it
+    passes above it by `BACK`."""
+
+    def __init__(self, grace_ms: float) -> None:
+        self.grace_ms, self.step = grace_ms, Step.FREE
+        self._below = self._above = 0.0
+
+    def judge(self, per_s: float, least: float, took_ms: float, everybody: bool) -> Step:
+        """A look after `took_ms` in which the peer was waited for; where everybody is slow none is cut."""
+        if per_s < least:
+            self._below, self._above = self._below + took_ms, 0.0
+            if self._below >= self.grace_ms:
+                self._below = 0.0
+                highest = Step.NARROW if everybody else Step.CUT
+                self.step = max(self.step, min(highest, Step(min(self.step + 1, Step.CUT))))
+        elif per_s >= least * BACK:
+            self._above, self._below = self._above + took_ms, 0.0
+            if self._above >= self.grace_ms and self.step is not Step.CUT:
+                self._above = 0.0
+                self.step = Step(max(Step.FREE, self.step - 1))
+        return self.step
+
+
+def everybody_slow(slow: int, waited_for: int) -> bool:
+    """Whether it is the network, or ourselves, rather than these peers."""
+    return waited_for >= FEW and slow > waited_for * MANY
+
+
+class Memory:
+    """Who was cut lately, by address and name: reconnecting wipes nothing. Emptied by time and by `most`."""
+
+    def __init__(self, keep_ms: float, most: int = 4096) -> None:
+        self.keep_ms, self.most = keep_ms, most
+        self._cut: dict[tuple[str, str], float] = {}
+
+    def cut(self, peer: tuple[str, str], now: float) -> None:
+        if len(self._cut) >= self.most:
+            self._cut = {one: at for one, at in self._cut.items() if now - at < self.keep_ms}
+            for one in [*self._cut][: max(0, len(self._cut) - self.most + 1)]:
+                del self._cut[one]
+        self._cut.pop(peer, None)
+        self._cut[peer] = now
+
+    def grace(self, peer: tuple[str, str], now: float, usual_ms: float) -> float:
+        """Half the usual for one that was cut lately: it knows."""
+        at = self._cut.get(peer)
+        return usual_ms / 2.0 if at is not None and now - at < self.keep_ms else usual_ms
--- /dev/null
+++ b/cherrygrade/peers/watch.py
@@ -0,0 +1,132 @@
+"""Looks at every connection now and then, asks the ladder, and carries out its steps."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from cherrygrade.peers.ladder import Ladder, Memory, Step, everybody_slow, least_rate
+from cherrygrade.peers.rate import Rate
+from cherrygrade.site import Pace
+from cherrygrade.transport.connection import Connection
+
+if TYPE_CHECKING:
+    from cherrygrade.gateway.links import NodeLine
+    from cherrygrade.gateway.sessions import Session
+
+LOOK_MS = 100.0
+STALL = 2.5  # a look later than this many times its due: it was we who stood still
+
+
+class Watched:
+    """One connection's record; goes with it."""
+
+    def __init__(self, pace: Pace, grace_ms: float) -> None:
+        self.rate, self.ladder = Rate(pace.short_ms, pace.long_ms), Ladder(grace_ms)
+        self.moved = 0
+
+
+class Watch:
+    """Asks `sessions` and `lines` for what is there now; keeps nothing of a connection that is gone."""
+
+    def __init__(
+        self,
+        pace: Pace,
+        sessions: Callable[[], Iterable[Session]],
+        lines: Callable[[], Iterable[NodeLine]],
+        come_back_ms: float,
+        log: Callable[..., None],
+    ) -> None:
+        self.pace, self._sessions, self._lines = pace, sessions, lines
+        self._come_back_ms, self._log = come_back_ms, log
+        self.memory = Memory(pace.remember_ms)
+        self._records: dict[Connection, Watched] = {}  # made anew at each look from what is still there
+        self._last = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._last = loop.time() * 1000.0
+        self._timer = loop.call_later(LOOK_MS / 1000.0, self._look)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time() * 1000.0
+        took, self._last = now - self._last, now
+        self._timer = loop.call_later(LOOK_MS / 1000.0, self._look)
+        ours = took > LOOK_MS * STALL
+        sessions = {session.conn: session for session in self._sessions()}
+        lines = {line.conn: line for line in self._lines()}
+        kept: dict[Connection, Watched] = {}
+        for conn in [*sessions, *lines]:
+            record = self._records.get(conn)
+            if record is None:
+                session = sessions.get(conn)
+                grace = self.pace.grace_ms
+                if session is not None:
+                    grace = self.memory.grace(_who(session), now, grace)
+                record = Watched(self.pace, grace)
+                record.moved = conn.moved
+            kept[conn] = record
+        self._records = kept
+        waited = []
+        for conn, record in kept.items():
+            moved, record.moved = conn.moved - record.moved, conn.moved
+            if ours:
+                continue
+            if conn.waits_for_peer:
+                record.rate.saw(moved, took)
+                waited.append((conn, record))
+            else:
+                record.rate.rested()
+        used = sum(conn.waiting for conn in sessions)
+        least = least_rate(self.pace.floor, self.pace.top, used, self.pace.room)
+        slow = sum(record.rate.per_s() < least for _, record in waited)
+        everybody = everybody_slow(slow, len(waited))
+        for conn, record in waited:
+            before = record.ladder.step
+            step = record.ladder.judge(record.rate.per_s(), least, took, everybody)
+            if step is not before:
+                self._take_step(conn, record, step, least, sessions.get(conn), lines.get(conn), now)
+
+    def _take_step(
+        self,
+        conn: Connection,
+        record: Watched,
+        step: Step,
+        least: float,
+        session: Session | None,
+        line: NodeLine | None,
+        now: float,
+    ) -> None:
+        per_s = record.rate.per_s()
+        self._log(
+            "slow peer",
+            peer=conn.peer,
+            name=session.name if session else "",
+            step=step.name.lower(),
+            bytes_per_s=round(per_s),
+            least=round(least),
+            waiting=conn.waiting,
+        )
+        if session is not None:
+            session.slow = step
+            conn.hold_reading(conn.full or (step >= Step.HELD and not conn.within))
+            if step < Step.NARROW:
+                session.feed_hungry()
+            if step is Step.CUT:
+                self.memory.cut(_who(session), now)
+                conn.close(
+                    f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least", self._come_back_ms
+                )
+        elif line is not None and step is Step.CUT:
+            conn.abort(f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least")
+
+
+def _who(session: Session) -> tuple[str, str]:
+    return session.conn.peer.rpartition(":")[0], session.name
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -10,7 +10,7 @@
 
 from cherrygrade.records.grammar import RecordSyntaxError, parse
 from cherrygrade.records.lattice import Vertex, unify
-from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Place, Site, Trade, Volume
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade, Volume
 
 T = TypeVar("T")
 
@@ -72,6 +72,7 @@
     bounds: Bounds
     lines: Lines
     extents: Cuts
+    peers: Pace
     budget: Any = None
 
 
@@ -91,7 +92,7 @@
         "least_units": record.measure.least_units,
     }
     bearings = convert({**given, "key_rest_ms": record.key_rest_ms}, Bearings)
-    return Site(record.place, trade, bearings, record.bounds, record.lines, cuts)
+    return Site(record.place, trade, bearings, record.bounds, record.lines, cuts, record.peers)
 
 
 def read_site(path: Path, extra: str = "") -> Site:
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -98,6 +98,21 @@
     hold_part: float = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What is asked of peers that are waited for. Bytes a second: the floor in plenty of room, the top when
+    `room` bytes wait for slow readers; spans that rates are taken over, and the grace of each step, ms."""
+
+    watch: bool = True
+    floor: float = 4096.0
+    top: float = 262144.0
+    room: float = 67108864.0
+    short_ms: float = 1000.0
+    long_ms: float = 5000.0
+    grace_ms: float = 1500.0
+    remember_ms: float = 30000.0
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     place: Place
@@ -106,3 +121,4 @@
     bounds: Bounds
     lines: Lines
     cuts: Cuts
+    pace: Pace
--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -41,6 +41,7 @@
         self.peer = ""
         self.waiting = 0  # bytes handed over and not yet taken by the socket
         self.open = False
+        self.moved = 0  # bytes that the peer took or brought, in all
         self._reader = FrameReader(self._room, self._frame, most_body)
         self._pieces: deque[bytes | bytearray | memoryview] = deque()
         self._transport: asyncio.Transport | None = None
@@ -62,6 +63,7 @@
         return self._reader.place()
 
     def buffer_updated(self, nbytes: int) -> None:
+        self.moved += nbytes
         if self._closing:
             return
         try:
@@ -95,6 +97,16 @@
         """More waits for the peer than the high mark; `writable` is told once it is under the low one."""
         return self._full
 
+    @property
+    def within(self) -> bool:
+        """A frame of the peer's has begun and not ended."""
+        return not self._reader.idle
+
+    @property
+    def waits_for_peer(self) -> bool:
+        """Something is handed over that it does not take, or it began a frame that it does not end."""
+        return self.open and not self._closing and (self._paused or self.within)
+
     def send(self, message: Message, body: Bytes | None = None, more: Sequence[Bytes | None] = ()) -> None:
         """Hand a frame over; it goes out with what else this turn of the event loop hands over.
 
@@ -176,6 +188,7 @@
                     pieces.appendleft(piece[CHUNK:])
                     piece = piece[:CHUNK]
                 self.waiting -= len(piece)
+                self.moved += len(piece)
                 transport.write(piece)
                 continue
             small = [pieces.popleft()]
@@ -184,6 +197,7 @@
                 size += len(pieces[0])
                 small.append(pieces.popleft())
             self.waiting -= size
+            self.moved += size
             transport.write(b"".join(small) if len(small) > 1 else small[0])
         if self._full and self.waiting <= self.low:
             self._full = False
--- /dev/null
+++ b/tests/test_slow_peers.py
@@ -0,0 +1,208 @@
+"""Slow peers are stepped down and cut; nobody else is, nor anybody for a fault of our own."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from house import House, run
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cherrygrade.client import Errored, Ok, Rejected
+from cherrygrade.peers.ladder import Ladder, Memory, Step, everybody_slow, least_rate
+from cherrygrade.peers.rate import Rate
+from cherrygrade.site import Cuts, Pace
+from cherrygrade.wire.frames import encode
+from cherrygrade.wire.messages import VERSION, Hello, ReadRpc, WriteRpc
+
+QUICK = Pace(floor=20_000.0, top=200_000.0, short_ms=200.0, long_ms=500.0, grace_ms=200.0)
+
+
+def walk(
+    rates: list[float], least: float = 100.0, grace: float = 300.0, everybody: bool = False
+) -> list[Step]:
+    """A peer that moves so much in each 100 ms."""
+    rate, ladder, steps = Rate(200.0, 1000.0), Ladder(grace), []
+    for per_s in rates:
+        rate.saw(int(per_s / 10.0), 100.0)
+        steps.append(ladder.judge(rate.per_s(), least, 100.0, everybody))
+    return steps
+
+
+def test_a_peer_goes_down_step_by_step_and_is_cut_within_three_graces_and_a_span():
+    steps = walk([0.0] * 30)
+    assert [steps.index(step) for step in (Step.HELD, Step.NARROW, Step.CUT)] == [2, 5, 8]
+
+
+def test_a_peer_that_gets_better_comes_back_and_does_not_flap_on_the_line():
+    steps = walk([0.0] * 4 + [120.0] * 20 + [1000.0] * 20)
+    assert steps[6] is not Step.FREE and len(set(steps[6:24])) == 1 and steps[-1] is Step.FREE
+
+
+def test_one_that_alternates_by_the_spans_length_is_judged_by_the_longer():
+    assert Step.CUT not in walk(([1000.0] * 2 + [0.0] * 2) * 20)  # 500 a second in the mean
+    assert Step.CUT in walk(([300.0] * 1 + [0.0] * 9) * 10)  # 30 a second in the mean
+
+
+def test_where_everybody_is_slow_nobody_is_cut():
+    assert max(walk([0.0] * 100, everybody=True)) is Step.NARROW
+    assert everybody_slow(9, 16) and not everybody_slow(8, 16) and not everybody_slow(5, 5)
+
+
+@given(st.lists(st.floats(0.0, 1000.0), min_size=1, max_size=80), st.floats(10.0, 900.0))
+def test_above_the_least_rate_nobody_is_stepped_on_below_it_everybody_is_cut_in_time(rates, least):
+    above = [max(rate, least + 20.0) for rate in rates]
+    assert set(walk(above, least)) == {Step.FREE}
+    below = walk([min(rate, least - 10.0) for rate in rates] + [0.0] * 12, least)
+    assert below[-1] is Step.CUT
+
+
+@given(st.floats(0.0, 1e6), st.floats(0.0, 1e6), st.floats(0.0, 2e9), st.floats(1.0, 1e9))
+def test_the_least_rate_rises_with_what_is_used_between_floor_and_top(floor, more, used, room):
+    least = least_rate(floor, floor + more, used, room)
+    assert floor <= least <= (floor + more) * (1.0 + 1e-9)
+    assert least <= least_rate(floor, floor + more, used + room, room) * (1.0 + 1e-9)
+    assert used > room / 2.0 or least == floor
+
+
+@given(st.lists(st.tuples(st.integers(0, 40), st.floats(0.0, 50.0)), max_size=80))
+def test_who_was_cut_is_remembered_for_its_time_in_bounded_room(cuts):
+    memory, now, last = Memory(100.0, most=8), 0.0, {}
+    for peer, gap in cuts:
+        now += gap
+        memory.cut(("a", str(peer)), now)
+        last[peer] = now
+        assert memory.grace(("a", str(peer)), now, 8.0) == 4.0 and len(memory._cut) <= 8
+    assert all(memory.grace(("a", str(peer)), at + 100.1, 8.0) == 8.0 for peer, at in last.items())
+
+
+async def big_volume(house: House, **more) -> None:
+    for shard in range(2):
+        await house.node(shard=shard)
+    house.volume(extents=64, extent_bytes=256 * 1024)
+    house.client(await house.gateway(cuts=Cuts(hold_part=0.0), **more), "good")
+    assert isinstance(await house.clients[0].read("read", "v", offset=0, length=1, deadline_ms=1400), Ok)
+
+
+async def slow_reader(house: House, per_s: float) -> asyncio.StreamWriter:
+    """Asks for all there is and takes so many bytes a second of it."""
+    reader, writer = await asyncio.open_connection(*house.gateways[0].address.split(":"), limit=2048)
+    writer.write(encode(Hello(VERSION, "client", "slow", ["parts"])))
+    for id_ in range(1, 5):
+        writer.write(encode(ReadRpc(id_, "export", "v", "", -1, 0, 16 * 1024 * 1024, 4900.0)))
+
+    async def sip() -> None:
+        while per_s and not writer.is_closing():
+            if not await reader.read(int(per_s / 50.0)):
+                return
+            await asyncio.sleep(0.02)
+
+    task = asyncio.create_task(sip())
+    writer.sipping = task  # type: ignore[attr-defined]
+    while not any(session.name == "slow" for session in house.gateways[0].sessions):
+        await asyncio.sleep(0.005)
+    return writer
+
+
+async def until_cut(house: House, patience: float = 4.0) -> bool:
+    for _ in range(int(patience / 0.02)):
+        if not any(session.name == "slow" for session in house.gateways[0].sessions):
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
+def test_a_client_that_reads_nothing_is_cut_and_the_good_one_sees_no_harm():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        writer = await slow_reader(house, 0.0)
+        task = asyncio.create_task(until_cut(house))
+        while not task.done():
+            answer = await house.clients[0].read("read", "v", offset=0, length=4096, deadline_ms=1400)
+            assert isinstance(answer, Ok)
+        assert await task
+        steps = [facts["step"] for event, facts in house.logs if event == "slow peer"]
+        assert steps[:3] == ["held", "narrow", "cut"]
+        assert not any(session.name == "slow" for session in house.gateways[0].sessions)
+        assert set(house.gateways[0].held) <= set()
+        writer.transport.abort()
+
+    run(story)
+
+
+def test_a_cut_client_that_comes_back_has_half_the_grace():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        took = []
+        for _ in range(2):
+            begun = time.monotonic()
+            writer = await slow_reader(house, 0.0)
+            assert await until_cut(house)
+            took.append(time.monotonic() - begun)
+            writer.transport.abort()
+        assert took[1] < took[0] - 0.15
+
+    run(story)
+
+
+def test_a_body_that_trickles_in_is_cut_in_its_middle_and_nothing_of_it_is_written():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        _, writer = await asyncio.open_connection(*house.gateways[0].address.split(":"))
+        writer.write(encode(Hello(VERSION, "client", "slow")))
+        writer.write(encode(WriteRpc(1, "write", "v", "k", -1, 0, 4900.0), 100_000))
+        for _ in range(200):
+            if writer.is_closing() or not any(one.name in ("slow", "") for one in house.gateways[0].sessions):
+                break
+            writer.write(b"x" * 20)
+            await asyncio.sleep(0.02)
+        assert await until_cut(house)
+        assert not any(("v", "k") in node.bytes for node in house.nodes)
+        writer.transport.abort()
+
+    run(story)
+
+
+def test_an_answer_that_trickles_from_a_node_is_given_up_and_the_read_answered():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        good = house.clients[0]
+        house.nodes[0].trickle = 10
+        slow = asyncio.create_task(good.read("export", "v", offset=0, length=60_000, deadline_ms=4500))
+        for _ in range(10):
+            answer = await good.read("read", "v", offset=256 * 1024, length=4096, deadline_ms=1400)
+            assert isinstance(answer, Ok)  # of the other node
+            await asyncio.sleep(0.02)
+        assert isinstance(await slow, Rejected | Errored | Ok)
+        assert any(event == "line lost" and "too slow" in facts["why"] for event, facts in house.logs)
+
+    run(story)
+
+
+def test_a_dispatcher_that_stood_still_cuts_nobody_for_it():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        _, writer = await asyncio.open_connection(*house.gateways[0].address.split(":"))
+        writer.write(encode(Hello(VERSION, "client", "slow")))
+        writer.write(encode(WriteRpc(1, "write", "v", "k", -1, 0, 4900.0), 3000) + b"x" * 1000)
+        await asyncio.sleep(0.05)
+        time.sleep(1.2)  # longer than the way from the first step to the last
+        writer.write(b"x" * 2000)
+        await asyncio.sleep(0.2)
+        assert any(session.name == "slow" for session in house.gateways[0].sessions)
+        assert not [facts for event, facts in house.logs if event == "slow peer"]
+        writer.close()
+
+    run(story)
+
+
+def test_a_peer_above_the_least_rate_is_left_alone():
+    async def story(house: House) -> None:
+        await big_volume(house, pace=QUICK)
+        writer = await slow_reader(house, 400_000.0)
+        assert not await until_cut(house, 1.5)
+        assert not [facts for event, facts in house.logs if event == "slow peer" and facts["step"] == "cut"]
+        writer.transport.abort()
+
+    run(story)
