Many slow peers beside a good one are many, not the network; unsent bytes bounded in the system

Cause: a hundred slow clients were taken for a slow network, since good ones seldom wait; the system's buffers held what slow readers had not taken. Change: the network is to blame only where nobody moved bytes as a good peer does for a span; TCP_NOTSENT_LOWAT 128 KiB on clients' connections.

--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -46,6 +46,7 @@
         if not self.gateway.enter(self):
             conn.close("too many clients", self.gateway.come_back_ms)
             return
+        conn.show_slowness()
         wait = self.gateway.hello_ms / 1000.0
         self._greeting = asyncio.get_running_loop().call_later(wait, conn.close, "no hello in time")
 
--- a/cherrygrade/peers/ladder.py
+++ b/cherrygrade/peers/ladder.py
@@ -46,9 +46,13 @@
         return self.step
 
 
-def everybody_slow(slow: int, waited_for: int) -> bool:
-    """Whether it is the network, or ourselves, rather than these peers."""
-    return waited_for >= FEW and slow > waited_for * MANY
+def everybody_slow(slow: int, waited_for: int, since_good_ms: float, span_ms: float) -> bool:
+    """Whether it is the network, or ourselves, rather than these peers.
+
+    Most of those waited for are slow, and for a span nobody at all moved bytes as a good peer does. Many
+    slow ones beside a good one are just many.
+    """
+    return waited_for >= FEW and slow > waited_for * MANY and since_good_ms >= span_ms
 
 
 class Memory:
--- a/cherrygrade/peers/watch.py
+++ b/cherrygrade/peers/watch.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
-from cherrygrade.peers.ladder import Ladder, Memory, Step, everybody_slow, least_rate
+from cherrygrade.peers.ladder import BACK, Ladder, Memory, Step, everybody_slow, least_rate
 from cherrygrade.peers.rate import Rate
 from cherrygrade.site import Pace
 from cherrygrade.transport.connection import Connection
@@ -42,7 +42,7 @@
         self._come_back_ms, self._log = come_back_ms, log
         self.memory = Memory(pace.remember_ms)
         self._records: dict[Connection, Watched] = {}  # made anew at each look from what is still there
-        self._last = 0.0
+        self._last = self._good_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -74,11 +74,13 @@
                 record.moved = conn.moved
             kept[conn] = record
         self._records = kept
-        waited = []
+        waited, good = [], 0.0
         for conn, record in kept.items():
             moved, record.moved = conn.moved - record.moved, conn.moved
             if ours:
                 continue
+            if conn in sessions:
+                good = max(good, 1000.0 * moved / took)
             if conn.waits_for_peer:
                 record.rate.saw(moved, took)
                 waited.append((conn, record))
@@ -87,7 +89,9 @@
         used = sum(conn.waiting for conn in sessions)
         least = least_rate(self.pace.floor, self.pace.top, used, self.pace.room)
         slow = sum(record.rate.per_s() < least for _, record in waited)
-        everybody = everybody_slow(slow, len(waited))
+        if good >= least * BACK:
+            self._good_at = now
+        everybody = everybody_slow(slow, len(waited), now - self._good_at, self.pace.long_ms)
         for conn, record in waited:
             before = record.ladder.step
             step = record.ladder.judge(record.rate.per_s(), least, took, everybody)
--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Sequence
 from typing import Any, Protocol
@@ -15,6 +16,7 @@
 from cherrygrade.wire.messages import Bye, Message
 
 Bytes = bytes | bytearray | memoryview
+UNSENT = 128 * 1024
 CHUNK = 256 * 1024  # of a large body handed to the socket at once
 SMALL = 16 * 1024  # pieces under this are joined into one write
 
@@ -160,6 +162,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def show_slowness(self, unsent: int = UNSENT) -> None:
+        """Let the system hold no more than this unsent, where it can: its buffers hide a slow reader."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        option = getattr(socket, "TCP_NOTSENT_LOWAT", None)
+        if sock is not None and option is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, option, unsent)
+
     def hold_reading(self, hold: bool) -> None:
         """Read nothing more until told otherwise."""
         if self._transport is None or not self.open:
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -47,7 +47,8 @@
 
 def test_where_everybody_is_slow_nobody_is_cut():
     assert max(walk([0.0] * 100, everybody=True)) is Step.NARROW
-    assert everybody_slow(9, 16) and not everybody_slow(8, 16) and not everybody_slow(5, 5)
+    assert everybody_slow(9, 16, 5000.0, 5000.0) and not everybody_slow(8, 16, 5000.0, 5000.0)
+    assert not everybody_slow(5, 5, 5000.0, 5000.0) and not everybody_slow(100, 100, 400.0, 5000.0)
 
 
 @given(st.lists(st.floats(0.0, 1000.0), min_size=1, max_size=80), st.floats(10.0, 900.0))
