Ranges: one maker of an extent's RPC, homes looked up only for pieces that go, dead state out

Two near copies made an extent's RPC; each piece's end built a table of the homes of all pieces that wait, so a range of n pieces cost n squared; Range.mapped and Connection.flush were used by nobody.

--- a/cherrygrade/extents/carrier.py
+++ b/cherrygrade/extents/carrier.py
@@ -44,7 +44,6 @@
             else (None if self.streams else memoryview(bytearray(self.length)))
         )
         self.helds: dict[Piece, Held] = {}
-        self.mapped = False
         self.parent = Parent([Stretch(-1, 0, self.length, 0)], self.writes, 1, 1)
 
     def plan(self) -> None:
@@ -52,7 +51,6 @@
         self.drop()
         cuts, ask = self.carrier.cuts, self.ask
         stretches = self.carrier.map.stretches(ask.volume, ask.offset, self.length, cuts.most_piece)
-        self.mapped = True
         self.parent = Parent(list(stretches), self.writes, cuts.pieces, cuts.pieces_a_shard)
         self.feed()
 
@@ -64,9 +62,7 @@
             session.hungry[self] = None
             return
         session.hungry.pop(self, None)
-        wanted = {piece.stretch.extent for piece in self.parent.waiting}
-        homes = {extent: self.carrier.map.home(self.ask.volume, extent) for extent in wanted}
-        for piece in self.parent.more(homes):
+        for piece in self.parent.more(lambda extent: self.carrier.map.home(self.ask.volume, extent)):
             held = self.carrier.hold_piece(self, piece)
             self.helds[piece] = held
             session.flying += piece.stretch.length
@@ -213,40 +209,34 @@
 
     def _single(self, session: Session, ask: ReadRpc | WriteRpc, body: Any, stretch: Stretch) -> Held:
         shard, version = self.map.home(ask.volume, stretch.extent)
-        held = self.gateway.make(
-            session,
-            ask,
-            body,
-            f"e{stretch.extent}",
-            shard,
-            stretch.start,
-            stretch.length,
-            self.gateway.until(session, ask),
-        )
-        return self._of_extent(held, stretch, version)
+        return self._held(session, ask, body, stretch, shard, version, self.gateway.until(session, ask))
 
     def hold_piece(self, range_: Range, piece: Piece) -> Held:
         stretch, ask = piece.stretch, range_.ask
         body = None
         if range_.writes and range_.whole is not None:
             body = range_.whole[stretch.at : stretch.at + stretch.length]
-        held = self.gateway.make(
-            range_.session,
-            ask,
-            body,
-            f"e{stretch.extent}",
-            piece.shard,
-            stretch.start,
-            stretch.length,
-            range_.until,
-        )
+        held = self._held(range_.session, ask, body, stretch, piece.shard, piece.version, range_.until)
         held.id = f"{held.id}/{stretch.at}.{piece.turn}"
         held.range, held.piece = range_, piece
         if not range_.writes and range_.whole is not None:
             held.place = range_.whole[stretch.at : stretch.at + stretch.length]
-        return self._of_extent(held, stretch, piece.version)
+        return held
 
-    def _of_extent(self, held: Held, stretch: Stretch, version: int) -> Held:
+    def _held(
+        self,
+        session: Session,
+        ask: ReadRpc | WriteRpc,
+        body: Any,
+        stretch: Stretch,
+        shard: int,
+        version: int,
+        until: float,
+    ) -> Held:
+        """The module's RPC on one stretch; it waits for the map's word where its place is not known."""
+        held = self.gateway.make(
+            session, ask, body, f"e{stretch.extent}", shard, stretch.start, stretch.length, until
+        )
         held.extent, held.version = stretch.extent, max(0, version)
         work = held.workload
         assert work is not None
--- a/cherrygrade/extents/parent.py
+++ b/cherrygrade/extents/parent.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -46,8 +47,8 @@
         self.come_back_ms = 0.0
         self.begun = False  # something of it may have run
 
-    def more(self, homes: dict[int, tuple[int, int]]) -> list[Piece]:
-        """Pieces to be taken now; `homes` has shard and version of the extents that wait."""
+    def more(self, home: Callable[[int], tuple[int, int]]) -> list[Piece]:
+        """Pieces to be taken now; `home` tells an extent's shard and version."""
         if self.end is not None:
             return []
         by_shard: dict[int, int] = {}
@@ -57,7 +58,7 @@
         passed: list[Piece] = []
         while self.waiting and len(self.out) + len(taken) < self.most_out and len(passed) < self.most_out:
             piece = self.waiting.popleft()
-            shard, version = homes.get(piece.stretch.extent, (NOWHERE, -1))
+            shard, version = home(piece.stretch.extent)
             if by_shard.get(shard, 0) >= self.most_shard:
                 passed.append(piece)  # others of other shards may go before it
                 continue
--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -139,10 +139,6 @@
             self.waiting += len(some)
             self._flush()
 
-    def flush(self) -> None:
-        """Hand to the socket now what waits, as far as it takes it."""
-        self._flush()
-
     def close(self, reason: str, come_back_ms: float = 0.0) -> None:
         """Tell the peer why, as far as the socket takes it, and close; nothing more is read."""
         if not self.open or self._closing:
--- a/tests/test_extents.py
+++ b/tests/test_extents.py
@@ -471,7 +471,7 @@
     turns = 0
     while parent.end is None:
         turns += 1
-        taken = parent.more({extent: (extent % 3, version) for extent, version in versions.items()})
+        taken = parent.more(lambda extent: (extent % 3, versions[extent]))
         assert taken or parent.out
         assert len(parent.out) <= 4
         for shard in range(3):
