Where clients mark repeats, little time left no longer makes a first try late

Cause: Dispatcher.take took any RPC with less time left than the longest seen for a repeat, late since its first try (soft deadline less longest - left). Dropped as causes: queueing (p50 40 ms), dead nodes (none).

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -373,6 +373,7 @@
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
         self.ask_spread = self.ask_wait = max(1000.0, 25.0 * dispatchers)  # all at once would jam discovery
         self.ask_at = 0.0 if permits.must_ask else NEVER
+        self.before = self.now = 0.0  # the round before this one, and this
 
     def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
                begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
@@ -380,6 +381,7 @@
                list_answered: bool | None = None) -> None:
         self.gate.pass_time(now)
         self.list(now, heard, list_answered)
+        self.before, self.now = self.now, now
         for send in answers:
             self.settle(send, now, writer)
         for rpc in left:
@@ -454,7 +456,11 @@
         volume.pass_time(now)
         left = rpc.give_up_ms - now
         longest = self.tries[rpc.workload.name] = max(self.tries.get(rpc.workload.name, 0.0), left)
-        job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - (longest - left))
+        # Short of time it is a repeat, late since its first try. Where those are marked, an unmarked one lost
+        # no more than this dispatcher stood still: its client is in haste.
+        marked = self.permits.marks_repeats and not rpc.repeat
+        spent = min(longest - left, now - self.before if marked else NEVER)
+        job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - spent)
         self.gate.take(job, now)
         self.place(job, now)
 
