A keeper for each node pools what all dispatchers know of its waiting, and tells it

Cause: with 100 to 200 dispatchers an answer of a node comes back here every 5 to 10 s. Change: sends and answers are told to one dispatcher a node, by hash; it tells all the waiting and a unit's work where they moved. Now a store of a volume's usual rate, by the clock.

--- a/cherrygrade/door.py
+++ b/cherrygrade/door.py
@@ -25,6 +25,7 @@
         self.heard: list[Node] = []
         self.probed: list[tuple[Node, bool, float, dict[str, float]]] = []
         self.list_answered: bool | None = None
+        self.words: list[bytes] = []
 
     def decide(self, dispatcher: Dispatcher, now: float, writer: Writer) -> None:
         """One round of the module with all that came in."""
@@ -38,6 +39,7 @@
             heard=self.heard,
             probed=self.probed,
             list_answered=self.list_answered,
+            words=self.words,
         )
         self.clear()
 
--- a/cherrygrade/interface.py
+++ b/cherrygrade/interface.py
@@ -119,6 +119,8 @@
     probe: bool = False
     come_back_ms: float = 0.0
     """The longest come-back time a client heeds; 0 where none may be given."""
+    peers: bool = False
+    """Dispatchers may send each other short messages."""
     marks_repeats: bool = False
     """Clients mark their repeats; else a short time left stands for the mark."""
     must_ask: bool = False
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -17,6 +17,7 @@
 from collections import deque
 from collections.abc import Sequence
 from heapq import heappop, heappush
+from struct import error, iter_unpack, pack
 from zlib import crc32
 
 from cherrygrade.interface import ColdStart, Earnings, Effect, Node, Outcome, Permits  # isort: split
@@ -24,10 +25,14 @@
 from cherrygrade.interface import Plan, ResendBudget, Rpc, Send, Standing, Workload, Writer
 
 BEAT_MS, NEVER = 10.0, 1e15  # wakes are asked for on this grid, so that they never pile up
-FEW = 12  # open nodes that are compared for a new object; a large fleet is not ranked whole
+FEW = 2  # open nodes that are compared for a new object; a large fleet is not ranked whole
 VIEW_MS, INTERVAL_MS = 2000.0, 200.0  # answers that the controller's p99 is taken over; its steps
 WINDOW_MS, RARE_MS = 1000.0, 500.0  # window steps; answers further apart than this are rare
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
+TELL_MS, WORD, BUSY_UNITS = 100.0, ">BHBH", 8.0  # between dispatchers: kind, node, units, ms
+SENT, ANSWERED, ENDED, WAITING = range(4)
+TOLD_MS = 3000.0  # how long the keeper's word stands for what is seen here
+SHARE_PART = 0.35  # of a volume's usual rate: what comes through one dispatcher inside its share
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
 
@@ -44,13 +49,24 @@
         # Ours is all of the due, less what nodes tell of others' use; where they don't, an even part.
         self.part = 1.0 if earnings.tells_elsewhere else 1.0 / hosts
         self.pot = self.depth = plan.reserve_rate * self.part + earnings.largest_units
+        self.open = self.most = plan.usual_rate * SHARE_PART  # units inside the share, of a second
         self.store = 0.0  # of the plan's limit; empty at the start, as a dispatcher before this one had it
 
     def pass_time(self, now: float) -> None:
         plan, gap, self.seen = self.plan, (now - self.seen) / 1000.0, now
+        self.open = min(self.most, self.open + self.most * gap)
         self.pot = min(self.depth, self.pot + plan.reserve_rate * self.part * gap)
         self.store = min(plan.limit_depth / self.hosts, self.store + plan.limit_rate / self.hosts * gap)
 
+    def shares(self, units: float) -> bool:
+        """Take units from the share; what comes beyond it leaves it empty."""
+        self.open = max(0.0, self.open - units)
+        return self.open > 0.0
+
+    def charge(self, units: float) -> None:
+        """What nodes did for it through other dispatchers."""
+        self.pot, self.open = self.pot - units, max(0.0, self.open - units)
+
     def reserve(self, units: float, rank: float) -> bool:
         """Take units from the reserve; workloads of lower value leave some of it to the others."""
         inside = self.plan.reserve_rate > 0.0 and self.pot >= units + self.depth * (1.0 - rank) * 0.5
@@ -63,7 +79,7 @@
 
     def __init__(self, rpc: Rpc, volume: Volume, now: float, soft: float) -> None:
         self.rpc, self.volume, self.taken, self.soft = rpc, volume, now, soft
-        self.level, self.key, self.overdue = 1.0, (0.0, 0.0), 0.0  # what its units earn; its place in a queue
+        self.level, self.key, self.overdue = 1.0, 0.0, 0.0  # what its units earn; its place in a queue
         self.queue: list[Job] | None = None
         self.lane: Lane | None = None
         self.near: dict[str, list[Job]] | None = None  # its lane's, while it waits there
@@ -109,12 +125,13 @@
         self.sends: dict[Send, Job] = {}  # out at the node; emptied by their outcomes
         self.busy = self.batch_out = 0  # sends out that are not taken for lost; batch ones among them
         self.last: Send | None = None  # the newest send, and whether it went beyond the window
-        self.rode, self.virtual = False, 0.0
-        self.tags: dict[Volume, float] = {}  # finish tags; dropped once behind virtual time
+        self.rode = False
         # A unit's work; waiting there; a unit's answer in the mean, and the least that was.
         self.unit_ms, self.queue_ms, self.answer_ms, self.quiet_ms = 0.0, 0.0, tight, tight
         self.next_step, self.next_window = now + INTERVAL_MS, now + WINDOW_MS
         self.strikes, self.trial_at, self.due = 0, 0.0, NEVER  # due: the earliest thing wanted here
+        self.told_at = -NEVER  # the keeper's newest word; how words name the node
+        self.place = crc32(node.address.encode()) & 0xFFFF
         self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
         self.cold = [(now, NEVER)]  # units sent in the span; a dispatcher before this one may have spent it
 
@@ -147,12 +164,6 @@
         key = self.last.rpc.key if self.last and not (self.last.outcome or self.rode or self.strikes) else ""
         return [job for job in [*self.pressed, *self.batch] if job.rpc.key == key] if key else []
 
-    def tag(self, volume: Volume, units: float) -> float:
-        """Charge units to the volume's share of this node, and tell where it stood."""
-        tag = max(self.virtual, self.tags.get(volume, 0.0))
-        self.tags[volume] = tag + units / max(volume.plan.weight * volume.part, 1e-6)
-        return tag
-
     def went(self, job: Job, send: Send) -> None:
         self.last, self.sends[send] = send, job
         job.overdue = send.sent_ms + 1.5 * self.tight + self.expected(send.units or send.rpc.units)
@@ -160,8 +171,6 @@
         self.busy, self.batch_out = self.busy + 1, self.batch_out + (not job.pressed)
 
     def charge(self, job: Job) -> None:
-        if job.pressed or not self.pressed:
-            self.virtual = max(self.virtual, job.key[1])
         share = self.share if job.pressed else self.share - 1.0
         self.lead += job.rpc.units / (max(share, 0.01) if job.pressed else min(share, -0.01))
         self.lead *= bool(self.pressed and self.batch)  # what nobody else waited for is owed to nobody
@@ -170,10 +179,12 @@
         """The steps owed since this node last mattered: all but the first only let the waiting seen fade."""
         owed = int((now - self.next_step) // INTERVAL_MS) + 1
         if owed > 0:
-            self.queue_ms *= 1.0 if self.busy else 0.8**owed  # idle: nothing tells of the waiting any more
+            known = self.busy or now < self.told_at + 0.5 * TOLD_MS  # else nothing tells of the waiting
+            self.queue_ms *= 1.0 if known else 0.8**owed
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
-        for send, job in self.sends.items():  # where answers are rare, what stays out tells of waiting
+        known = now < self.told_at + TOLD_MS  # else, where answers are rare, what stays out tells of waiting
+        for send, job in self.sends.items() if not known else ():
             if not (send.outcome or job.lost or self.last_answer > send.sent_ms - RARE_MS):  # not our gap
                 work = (send.units or send.rpc.units) * self.unit_ms
                 self.queue_ms = max(self.queue_ms, now - send.sent_ms - work)
@@ -208,24 +219,26 @@
         self.waits, self.filled = [], self.busy >= self.slots()
         if self.reserved >= int(self.window):  # a reserved slot that the window takes comes back as share
             self.reserved, self.share = int(self.window) - 1, 1.0
-        self.tags = {volume: tag for volume, tag in self.tags.items() if tag > self.virtual}
 
     def free(self, job: Job) -> None:
         self.busy -= not job.lost
         self.batch_out -= not (job.lost or job.pressed)
         job.lost = True
 
-    def watch(self, now: float, patience: float) -> None:
+    def watch(self, now: float, patience: float) -> list[Send]:
         """Guards against lost messages and silent nodes: a long overdue send holds no slot any more."""
         self.due, silent = NEVER, False
+        lost: list[Send] = []
         for send, job in self.sends.items():
             if not job.lost and now <= job.overdue:
                 self.due = min(self.due, job.overdue)
             elif not job.lost:
                 self.free(job)
+                lost.append(send)
                 silent = silent or self.last_answer < send.sent_ms
-        if silent:
+        if silent and not (now < self.told_at + TOLD_MS and self.queue_ms < 2000.0):  # others are answered
             self.trouble(now, patience)
+        return lost
 
     def trouble(self, now: float, patience: float) -> None:  # dead, silent, unreachable: single trials
         self.strikes, self.struck_at = self.strikes + 1, self.struck_at if self.strikes else now
@@ -253,16 +266,57 @@
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
             for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
                 unit = lane.unit_ms or lane.others.unit_ms or rate
+                if now < lane.told_at + TOLD_MS:
+                    continue
                 lane.unit_ms = unit * (0.7 if 2 * rate < unit else (0.98 if rate <= unit else 1.002) ** steps)
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - work * self.unit_ms), send.rpc.workload.soft_ms
             # What was seen long ago counts for little.
             fresh = 0.2 if silent < RARE_MS else 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)
+            fresh *= now > self.told_at + TOLD_MS
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
             self.views.extend([(now, (send.sent_ms + send.took_ms - job.taken) / soft)] * job.pressed)
 
 
+    def hear(self, now: float, wait: float, unit: float) -> None:
+        """The keeper's word on the waiting here and a unit's work, pooled from all dispatchers."""
+        self.queue_ms, self.told_at, self.unit_ms = wait, now, unit or self.unit_ms
+
+
+class Keeper:
+    """What all dispatchers together have out at one node. Dropped once nothing was heard for long."""
+
+    def __init__(self, lane: Lane, now: float) -> None:
+        self.lane, self.at, self.heard, self.told_at, self.answered_at = lane, now, now, now, now
+        self.out = self.done = self.rate = self.wait = 0.0  # units; answered since the last step; a ms
+        self.unit, self.told = 0.0, (0.0, 0.0)
+
+    def note(self, kind: int, units: float, took: float, now: float) -> None:
+        self.heard = now
+        self.out = max(0.0, self.out + (units if kind == SENT else -units))
+        if kind == ANSWERED:
+            self.done, self.answered_at = self.done + units, now
+            work = max(took - self.wait, 0.2 * took) / max(units, 0.1)
+            self.unit += (0.15 if self.unit else 1.0) * (work - self.unit)
+
+    def step(self, now: float) -> bool:
+        """Whether what is known is worth telling. Units out over units answered a ms: how long one stays."""
+        gap, self.at = max(1.0, now - self.at), now
+        if self.out > BUSY_UNITS:
+            self.rate += (0.2 if self.rate else 1.0) * (self.done / gap - self.rate)
+        self.done, self.out = 0.0, self.out * 0.5 ** (gap / 4000.0)  # the dead never end their own
+        over = max(0.0, self.out - BUSY_UNITS)
+        self.wait = min(4000.0, over / max(self.rate, 0.001)) if self.rate else 0.0
+        wait, unit = self.told
+        changed = abs(self.wait - wait) > 20.0 + 0.2 * wait or abs(self.unit - unit) > 0.4 * unit
+        silent = self.out > 0.0 and now > self.answered_at + 2000.0
+        self.wait = 4000.0 if silent else self.wait
+        if changed or (self.heard > now - 2000.0 and now > self.told_at + 2000.0):
+            self.told, self.told_at = (self.wait, self.unit), now
+        return self.told_at == now
+
+
 class Gate:
     """The seven rules. Every send passes `opens`, and every final rejection `may_reject`."""
 
@@ -373,15 +427,21 @@
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
         self.ask_spread = self.ask_wait = max(1000.0, 25.0 * dispatchers)  # all at once would jam discovery
         self.ask_at = 0.0 if permits.must_ask else NEVER
+        self.tell_at = NEVER
+        self.kept: dict[Lane, Keeper] = {}  # nodes whose load is pooled here; dropped once quiet
+        self.said: dict[int, list[bytes]] = {}  # words of this round; emptied by it
+        self.places: dict[int, Lane] = {}  # lanes as peers name them; made anew with each list
         self.before = self.now = 0.0  # the round before this one, and this
 
     def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
                begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
                probed: Sequence[tuple[Node, bool, float, dict[str, float]]] = (),
-               list_answered: bool | None = None) -> None:
+               list_answered: bool | None = None, words: Sequence[bytes] = ()) -> None:
         self.gate.pass_time(now)
         self.list(now, heard, list_answered)
         self.before, self.now = self.now, now
+        for word in words:
+            self.hear(word, now)
         for send in answers:
             self.settle(send, now, writer)
         for rpc in left:
@@ -406,7 +466,8 @@
     def tend(self, lane: Lane, now: float, writer: Writer) -> None:
         """All that may be due at a lane; each part lowers `due` to when it wants the next look."""
         before = lane.due
-        lane.watch(now, 1.5 * self.tight)
+        for send in lane.watch(now, 1.5 * self.tight):
+            self.report(lane, ENDED, send.rpc.units, 0.0, now)
         self.sweep(lane, now, writer)
         self.fill(lane, now, writer)
         del self.stirred[lane]
@@ -415,15 +476,63 @@
             self.count += 1
             heappush(self.dues, (lane.due, self.count, lane))
 
+    def hear(self, word: bytes, now: float) -> None:
+        try:
+            for kind, place, units, value in iter_unpack(WORD, word):
+                lane = self.places.get(place)
+                if lane and kind == WAITING:
+                    lane.hear(now, float(value), 2.0 * units)
+                elif lane:
+                    self.keep(lane, kind, units / 10.0, float(value), now)
+        except error:
+            return  # cut short: what it says is not needed
+
+    def keep(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
+        keeper = self.kept.get(lane)
+        if keeper is None:
+            keeper = self.kept[lane] = Keeper(lane, now)
+        keeper.note(kind, units, took, now)
+        self.tell_at = min(self.tell_at, (now // TELL_MS + 1.0) * TELL_MS)
+
+    def report(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
+        """What goes to a node and comes back is told to the one dispatcher that keeps the node."""
+        if not self.permits.peers:
+            return
+        keeper = lane.place % self.gate.dispatchers
+        if keeper == self.gate.number:
+            self.keep(lane, kind, units, took, now)
+        else:
+            self.said.setdefault(keeper, []).append(
+                pack(WORD, kind, lane.place, min(255, int(units * 10.0)), min(65535, int(took))))
+
+    def tell(self, now: float, writer: Writer) -> None:
+        self.tell_at, views = NEVER, []
+        for lane, keeper in list(self.kept.items()):
+            if keeper.step(now):
+                lane.hear(now, *keeper.told)
+                wait, unit = keeper.told
+                views.append(pack(WORD, WAITING, lane.place, min(255, int(unit / 2.0)), int(wait)))
+            if now > keeper.heard + 10000.0:
+                del self.kept[lane]
+        if self.kept:
+            self.tell_at = (now // TELL_MS + 1.0) * TELL_MS
+        if views:
+            writer.tell(None, b"".join(views[:40]))
+
     def wake(self, now: float, writer: Writer) -> None:
         """Ask for the list when due, and for the next wake."""
+        if now >= self.tell_at:
+            self.tell(now, writer)
+        for peer, words in self.said.items():
+            writer.tell(peer, b"".join(words[:40]))
+        self.said.clear()
         if now >= self.ask_at:
             self.ask_at = NEVER
             writer.subscribe()
         while self.dues and self.dues[0][0] != self.dues[0][2].due:
             heappop(self.dues)
         self.wakes = {at for at in self.wakes if at > now + 0.01}
-        at = min(self.ask_at, self.dues[0][0] if self.dues else NEVER)
+        at = min(self.ask_at, self.tell_at, self.dues[0][0] if self.dues else NEVER)
         if at < NEVER and at not in self.wakes:
             self.wakes.add(at)
             writer.wake(max(0.0, at - now))
@@ -432,12 +541,13 @@
         for node in heard:
             self.lanes.setdefault(node, Lane(node, now, self.tight, self.unplaced))
         if heard:  # what waits for a place or for a replacement looks again
-            self.shards = {}
+            self.shards, self.places = {}, {}
             self.volumes = {name: vol for name, vol in self.volumes.items() if now - vol.seen < 60000.0}
             for lane in [*self.lanes.values(), self.unplaced]:
                 if lane.node.standing is Standing.GONE and not (lane.sends or lane.pressed or lane.batch):
                     del self.lanes[lane.node]
                     continue
+                self.places[lane.place] = lane
                 self.shards.setdefault(lane.node.shard, []).append(lane)
                 if lane.pressed or lane.batch:
                     self.stir(lane, now)
@@ -486,6 +596,7 @@
             if few < 0 and best:
                 break
             credit = float(lane.slots() - lane.busy - len(lane.pressed))
+            credit = credit and credit > 0 and 1e6 / (1.0 + lane.expected(job.rpc.units))
             if credit > best and self.gate.cold_room(lane, now) >= NEVER:
                 best, job.lane = credit, lane
         self.stir(job.lane, now)
@@ -496,15 +607,13 @@
     def rank(self, job: Job, now: float) -> None:
         """Find what the RPC's units still earn, and so its side and its place there."""
         rpc, volume, lane, workload = job.rpc, job.volume, job.lane, job.rpc.workload
-        plan, tag = volume.plan, 0.0
+        plan = volume.plan
         if not volume.reserve(rpc.units, workload.value / self.top):
-            tag = lane.tag(volume, rpc.units)
-            ahead = (tag - lane.virtual) * plan.weight / max(plan.usual_rate, 1e-6)
-            job.level = self.earnings.in_share if ahead <= 0.1 else self.earnings.beyond
+            job.level = self.earnings.in_share if volume.shares(rpc.units) else self.earnings.beyond
         in_time = now + lane.expected(rpc.units) <= job.soft
         job.pressed = presses(workload, self.top, self.tight) and in_time and job.level > self.earnings.beyond
         value = workload.value * (1.0 if in_time else workload.late_part) * plan.price * job.level
-        job.key = (-value, tag)  # equals keep the order they came in
+        job.key = -value  # equals keep the order they came in
 
     def fill(self, lane: Lane, now: float, writer: Writer) -> None:
         shut = lane.trial_at if lane.strikes else 0.0
@@ -543,7 +652,9 @@
         lane.charge(job)
         job.join(None)
         self.gate.sent(job, lane, now)
-        return writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)
+        self.report(lane, SENT, job.rpc.units, 0.0, now)
+        until = min(job.soft if job.pressed else NEVER, job.rpc.give_up_ms)
+        return writer.send(job.rpc, lane.node, max(1.0, until - now))
 
     def take_along(self, job: Job, send: Send, lane: Lane, now: float, writer: Writer) -> None:
         """What waits here anyway and adjoins shares the send and its slot, while nobody turns late by it.
@@ -579,11 +690,13 @@
         lane, rpc = self.lanes[send.node], send.rpc
         self.stir(lane, now)
         job = lane.sends[send]
+        if job.lost and not send.lead:  # its end was told when it was long overdue
+            self.report(lane, SENT, rpc.units, 0.0, now)
+        self.report(lane, ANSWERED if send.outcome is Outcome.OK else ENDED, rpc.units, send.took_ms, now)
         lane.answered(send, now, self.tight)
         self.gate.outcome(send, now)
         job.volume.pass_time(now)
-        job.volume.pot -= send.elsewhere
-        lane.tag(job.volume, send.elsewhere)
+        job.volume.charge(send.elsewhere)
         if rpc.over:
             self.finish(job, now)
         elif rpc in self.jobs and not job.out and job.queue is None:
--- a/cherrygrade/wirehost/codec.py
+++ b/cherrygrade/wirehost/codec.py
@@ -149,6 +149,7 @@
             cancel=self.flag("limits.mayCancel"),
             probe=self.flag("limits.mayProbe"),
             come_back_ms=self.ms("limits.maxRetryAfterS") if self.flag("limits.retryAfter") else 0.0,
+            peers=self.flag("limits.peerMessages"),
             marks_repeats=self.flag("clients.marksRetry"),
             must_ask=self.text("membershipMode") == "ask",
             ask_within_ms=self.ms("guarantees.askWithinS"),
--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -132,7 +132,7 @@
             "DEADLINE_HIT": lambda parts: None,
             "ANNOUNCE": self._announce,
             "SAMPLED": self._sampled,
-            "NOTE_FROM": lambda parts: None,
+            "NOTE_FROM": self._note,
         }
 
     def read(self, line: str) -> None:
@@ -277,6 +277,9 @@
             named.append(node)
         instance.inbox.heard += instance.nodes.told(named, whole=mode != "D")
 
+    def _note(self, parts: list[str]) -> None:
+        self._instances[parts[1]].inbox.words.append(b"" if parts[3] == "-" else base64.b64decode(parts[3]))
+
     def _sampled(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
         node = instance.nodes.by_address.get(parts[2])
