Words between dispatchers in the program, with settings that are checked; keepers put in order

Need: one build for both shapes. permits.peers, permits.marks_repeats and words.places come from the settings, off as before; a mix (places without peers, peers without a place for each, peers with tells_elsewhere) is refused at the start with its key. A word goes over a connection of its own and may be lost; nonsense there ends that connection.

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -60,7 +60,16 @@
         told = make_log(log, dispatcher=site.place.name)
         told("module", compiled=compiled)
         gateway = Gateway(
-            site.place, site.trade, site.bearings, site.bounds, site.lines, told, make, site.cuts, site.pace
+            site.place,
+            site.trade,
+            site.bearings,
+            site.bounds,
+            site.lines,
+            told,
+            make,
+            site.cuts,
+            site.pace,
+            site.words.places,
         )
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from cherrygrade.door import Nodes
@@ -20,6 +20,7 @@
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.sessions import Session
 from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.gateway.words import Words
 from cherrygrade.interface import Node, Outcome
 from cherrygrade.peers.arrivals import Arrivals
 from cherrygrade.peers.store import Claim, waits
@@ -48,6 +49,7 @@
         make: Callable[..., Dispatcher] = Dispatcher,
         cuts: Cuts | None = None,
         pace: Pace | None = None,
+        places: Sequence[str] = (),
     ) -> None:
         self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
@@ -87,6 +89,9 @@
             log,
         )
         self.watch = Watch(pace, self.rooms, lambda: self.sessions, self._node_lines, self.come_back_ms, log)
+        self.words: Words | None = None
+        if places:
+            self.words = Words(places, place.number, place.name, self.rounds.clock, self.rounds.hear, log)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
@@ -102,6 +107,8 @@
         door.setblocking(False)
         self._server = await loop.create_server(lambda: Session(self).conn, sock=door, backlog=ABREAST)
         door.listen(BACKLOG)  # asyncio takes one figure for the queue and for what it accepts in one turn
+        if self.words is not None:
+            await self.words.start()
         self.follower.start()
         if self.watch.pace.watch:
             self.watch.start()
@@ -155,6 +162,8 @@
         if self._server is not None:
             self._server.close()
         self.follower.close()
+        if self.words is not None:
+            self.words.close()
         self._tell()
         self.ranges.close()
         self.watch.close()
@@ -402,6 +411,10 @@
     def _ask_map(self, volume: str, first: int, count: int) -> None:
         self.follower.ask_map(volume, first, count)
 
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        if self.words is not None:
+            self.words.tell(peer, payload)
+
     def ask_list(self, push: bool) -> None:
         self.follower.ask(push)
 
--- a/cherrygrade/gateway/rounds.py
+++ b/cherrygrade/gateway/rounds.py
@@ -31,6 +31,8 @@
 
     def ask_list(self, push: bool) -> None: ...
 
+    def tell(self, peer: int | None, payload: bytes) -> None: ...
+
     def before_round(self, now: float) -> None: ...
 
 
@@ -78,6 +80,11 @@
             self.inbox.left.append(held)
             self.stir()
 
+    def hear(self, payload: bytes) -> None:
+        """A word of another dispatcher came."""
+        self.inbox.words.append(payload)
+        self.stir()
+
     def outcome(self, out: Out, outcome: Outcome, body: bytearray | memoryview | None = None) -> None:
         """A send ended. The first word counts; the caller has let go of it everywhere else."""
         if out.outcome is not None:
@@ -166,7 +173,7 @@
         self._log(f"release of {node.address} passed over: idle connections close by themselves")
 
     def tell(self, peer: int | None, payload: bytes) -> None:
-        self._log("word to other dispatchers passed over: they share nothing")
+        self._todo.append((self._carrier.tell, (peer, payload)))
 
     def log(self, text: str) -> None:
         self._log(text)
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -6,9 +6,10 @@
 1. due: what of a volume's units still earns full value, told from its own and others' use (Volume);
 2. the gate: the seven rules, at one place that every send passes (Gate);
 3. health: silence or broken connections leave a node one trial send at growing waits (Lane.trouble);
-4. giving up: an RPC that cannot earn any more is answered at once (Dispatcher.sweep);
-5. further sends: what proved not to have run, or may run again, goes back to its queue (Dispatcher.settle);
-6. the pick: a new object goes where most credit (free window slots) is left, or waits unplaced.
+4. ends: an RPC that cannot earn any more is answered at once; one whose send proved not to have run, or
+   may run again, goes back to its queue (Dispatcher.sweep, Dispatcher.settle);
+5. keepers: where words between dispatchers are permitted, one of them pools what all know of a node (Keeper);
+6. the pick: a new object goes where credit (free window slots) is left and an answer comes soonest, or waits.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from collections import deque
 from collections.abc import Sequence
 from heapq import heappop, heappush
-from struct import error, iter_unpack, pack
+from struct import calcsize, iter_unpack, pack
 from zlib import crc32
 
 from cherrygrade.interface import ColdStart, Earnings, Effect, Node, Outcome, Permits  # isort: split
@@ -29,9 +30,9 @@
 VIEW_MS, INTERVAL_MS = 2000.0, 200.0  # answers that the controller's p99 is taken over; its steps
 WINDOW_MS, RARE_MS = 1000.0, 500.0  # window steps; answers further apart than this are rare
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
-TELL_MS, WORD, BUSY_UNITS = 100.0, ">BHBH", 8.0  # between dispatchers: kind, node, units, ms
+TELL_MS, WORD, MOST_WORDS = 100.0, ">BHBH", 40  # between dispatchers: kind, node, units, ms
 SENT, ANSWERED, ENDED, WAITING = range(4)
-TOLD_MS = 3000.0  # how long the keeper's word stands for what is seen here
+TOLD_MS = 3000.0  # how long a keeper's word stands
 SHARE_PART = 0.35  # of a volume's usual rate: what comes through one dispatcher inside its share
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
@@ -135,6 +136,10 @@
         self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
         self.cold = [(now, NEVER)]  # units sent in the span; a dispatcher before this one may have spent it
 
+    def known(self, now: float) -> bool:
+        """The keeper's word stands for what is seen here."""
+        return now < self.told_at + TOLD_MS
+
     def slots(self) -> int:
         return 1 if self.strikes else int(self.window)
 
@@ -179,12 +184,10 @@
         """The steps owed since this node last mattered: all but the first only let the waiting seen fade."""
         owed = int((now - self.next_step) // INTERVAL_MS) + 1
         if owed > 0:
-            known = self.busy or now < self.told_at + 0.5 * TOLD_MS  # else nothing tells of the waiting
-            self.queue_ms *= 1.0 if known else 0.8**owed
+            self.queue_ms *= 1.0 if self.busy or self.known(now) else 0.8**owed  # else nothing tells of it
             self.step(self.next_step)
             self.next_step += owed * INTERVAL_MS
-        known = now < self.told_at + TOLD_MS  # else, where answers are rare, what stays out tells of waiting
-        for send, job in self.sends.items() if not known else ():
+        for send, job in self.sends.items() if not self.known(now) else ():  # what stays out tells of waiting
             if not (send.outcome or job.lost or self.last_answer > send.sent_ms - RARE_MS):  # not our gap
                 work = (send.units or send.rpc.units) * self.unit_ms
                 self.queue_ms = max(self.queue_ms, now - send.sent_ms - work)
@@ -236,7 +239,7 @@
                 self.free(job)
                 lost.append(send)
                 silent = silent or self.last_answer < send.sent_ms
-        if silent and not (now < self.told_at + TOLD_MS and self.queue_ms < 2000.0):  # others are answered
+        if silent and not (self.known(now) and self.queue_ms < 2000.0):  # else others are answered
             self.trouble(now, patience)
         return lost
 
@@ -266,14 +269,13 @@
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
             for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
                 unit = lane.unit_ms or lane.others.unit_ms or rate
-                if now < lane.told_at + TOLD_MS:
-                    continue
-                lane.unit_ms = unit * (0.7 if 2 * rate < unit else (0.98 if rate <= unit else 1.002) ** steps)
+                drift = 0.7 if 2 * rate < unit else (0.98 if rate <= unit else 1.002) ** steps
+                lane.unit_ms = lane.unit_ms if lane.known(now) else unit * drift
         if outcome is Outcome.OK or (outcome is Outcome.TIMED_OUT and self.last_answer < send.sent_ms):
             wait, soft = max(0.0, send.took_ms - work * self.unit_ms), send.rpc.workload.soft_ms
             # What was seen long ago counts for little.
             fresh = 0.2 if silent < RARE_MS else 1.0 - 0.8 ** (1.0 + silent / INTERVAL_MS)
-            fresh *= now > self.told_at + TOLD_MS
+            fresh = 0.0 if self.known(now) else fresh
             self.queue_ms += fresh * (min(wait, 4.0 * self.queue_ms + 50.0 + silent) - self.queue_ms)
             self.waits.append(min(1.0, wait / soft))
             self.views.extend([(now, (send.sent_ms + send.took_ms - job.taken) / soft)] * job.pressed)
@@ -287,10 +289,10 @@
 class Keeper:
     """What all dispatchers together have out at one node. Dropped once nothing was heard for long."""
 
-    def __init__(self, lane: Lane, now: float) -> None:
-        self.lane, self.at, self.heard, self.told_at, self.answered_at = lane, now, now, now, now
-        self.out = self.done = self.rate = self.wait = 0.0  # units; answered since the last step; a ms
-        self.unit, self.told = 0.0, (0.0, 0.0)
+    def __init__(self, now: float, busy: float) -> None:
+        self.at, self.heard, self.told_at, self.answered_at, self.busy = now, now, now, now, busy
+        self.out = self.done = self.rate = 0.0  # units; answered since the last step; answered a ms
+        self.wait, self.unit, self.told = 0.0, 0.0, (0.0, 0.0)
 
     def note(self, kind: int, units: float, took: float, now: float) -> None:
         self.heard = now
@@ -303,16 +305,14 @@
     def step(self, now: float) -> bool:
         """Whether what is known is worth telling. Units out over units answered a ms: how long one stays."""
         gap, self.at = max(1.0, now - self.at), now
-        if self.out > BUSY_UNITS:
+        if self.out > self.busy:
             self.rate += (0.2 if self.rate else 1.0) * (self.done / gap - self.rate)
         self.done, self.out = 0.0, self.out * 0.5 ** (gap / 4000.0)  # the dead never end their own
-        over = max(0.0, self.out - BUSY_UNITS)
-        self.wait = min(4000.0, over / max(self.rate, 0.001)) if self.rate else 0.0
-        wait, unit = self.told
-        changed = abs(self.wait - wait) > 20.0 + 0.2 * wait or abs(self.unit - unit) > 0.4 * unit
-        silent = self.out > 0.0 and now > self.answered_at + 2000.0
-        self.wait = 4000.0 if silent else self.wait
-        if changed or (self.heard > now - 2000.0 and now > self.told_at + 2000.0):
+        over, silent = self.out - self.busy, self.out > 0.0 and now > self.answered_at + 2000.0
+        self.wait = min(4000.0, max(0.0, over) / max(self.rate, 0.001)) if self.rate else 0.0
+        self.wait, (wait, unit) = 4000.0 if silent else self.wait, self.told
+        moved = abs(self.wait - wait) > 35.0 + 0.3 * wait or abs(self.unit - unit) > 0.4 * unit
+        if moved or (self.heard > now - 2000.0 and now > self.told_at + 2000.0):
             self.told, self.told_at = (self.wait, self.unit), now
         return self.told_at == now
 
@@ -429,7 +429,7 @@
         self.ask_at = 0.0 if permits.must_ask else NEVER
         self.tell_at = NEVER
         self.kept: dict[Lane, Keeper] = {}  # nodes whose load is pooled here; dropped once quiet
-        self.said: dict[int, list[bytes]] = {}  # words of this round; emptied by it
+        self.said: dict[int | None, list[bytes]] = {}  # words of this round; emptied by it
         self.places: dict[int, Lane] = {}  # lanes as peers name them; made anew with each list
         self.before = self.now = 0.0  # the round before this one, and this
 
@@ -477,55 +477,47 @@
             heappush(self.dues, (lane.due, self.count, lane))
 
     def hear(self, word: bytes, now: float) -> None:
-        try:
-            for kind, place, units, value in iter_unpack(WORD, word):
-                lane = self.places.get(place)
-                if lane and kind == WAITING:
-                    lane.hear(now, float(value), 2.0 * units)
-                elif lane:
-                    self.keep(lane, kind, units / 10.0, float(value), now)
-        except error:
-            return  # cut short: what it says is not needed
+        """A peer's word; one that is cut short says nothing, and nothing here needs it."""
+        for kind, place, units, value in iter_unpack(WORD, word) if len(word) % calcsize(WORD) == 0 else ():
+            lane = self.places.get(place)
+            if lane and kind == WAITING:
+                lane.hear(now, float(value), 2.0 * units)
+            elif lane:
+                self.keep(lane, kind, units / 10.0, float(value), now)
 
     def keep(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
-        keeper = self.kept.get(lane)
-        if keeper is None:
-            keeper = self.kept[lane] = Keeper(lane, now)
-        keeper.note(kind, units, took, now)
+        if lane not in self.kept:
+            self.kept[lane] = Keeper(now, 4.0 * self.earnings.mean_units)
+        self.kept[lane].note(kind, units, took, now)
         self.tell_at = min(self.tell_at, (now // TELL_MS + 1.0) * TELL_MS)
 
     def report(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
         """What goes to a node and comes back is told to the one dispatcher that keeps the node."""
-        if not self.permits.peers:
-            return
         keeper = lane.place % self.gate.dispatchers
-        if keeper == self.gate.number:
+        if self.permits.peers and keeper == self.gate.number:
             self.keep(lane, kind, units, took, now)
-        else:
-            self.said.setdefault(keeper, []).append(
-                pack(WORD, kind, lane.place, min(255, int(units * 10.0)), min(65535, int(took))))
+        elif self.permits.peers:
+            word = pack(WORD, kind, lane.place, min(255, int(units * 10.0)), min(65535, int(took)))
+            self.said.setdefault(keeper, []).append(word)
 
     def tell(self, now: float, writer: Writer) -> None:
-        self.tell_at, views = NEVER, []
-        for lane, keeper in list(self.kept.items()):
-            if keeper.step(now):
-                lane.hear(now, *keeper.told)
-                wait, unit = keeper.told
-                views.append(pack(WORD, WAITING, lane.place, min(255, int(unit / 2.0)), int(wait)))
-            if now > keeper.heard + 10000.0:
-                del self.kept[lane]
-        if self.kept:
-            self.tell_at = (now // TELL_MS + 1.0) * TELL_MS
-        if views:
-            writer.tell(None, b"".join(views[:40]))
-
-    def wake(self, now: float, writer: Writer) -> None:
-        """Ask for the list when due, and for the next wake."""
+        """Reports go with the round that made them, what keepers know on a grid, where it moved."""
         if now >= self.tell_at:
-            self.tell(now, writer)
+            for lane, keeper in self.kept.items():
+                if keeper.step(now):
+                    lane.hear(now, *keeper.told)
+                    wait, unit = keeper.told
+                    word = pack(WORD, WAITING, lane.place, min(255, int(unit / 2.0)), int(wait))
+                    self.said.setdefault(None, []).append(word)
+            self.kept = {lane: keeper for lane, keeper in self.kept.items() if keeper.heard > now - 10000.0}
+            self.tell_at = (now // TELL_MS + 1.0) * TELL_MS if self.kept else NEVER
         for peer, words in self.said.items():
-            writer.tell(peer, b"".join(words[:40]))
+            writer.tell(peer, b"".join(words[:MOST_WORDS]))
         self.said.clear()
+
+    def wake(self, now: float, writer: Writer) -> None:
+        """Ask for the list when due, and for the next wake."""
+        self.tell(now, writer)
         if now >= self.ask_at:
             self.ask_at = NEVER
             writer.subscribe()
@@ -547,7 +539,8 @@
                 if lane.node.standing is Standing.GONE and not (lane.sends or lane.pressed or lane.batch):
                     del self.lanes[lane.node]
                     continue
-                self.places[lane.place] = lane
+                if lane is not self.unplaced:
+                    self.places[lane.place] = lane
                 self.shards.setdefault(lane.node.shard, []).append(lane)
                 if lane.pressed or lane.batch:
                     self.stir(lane, now)
@@ -575,11 +568,13 @@
         self.place(job, now)
 
     def place(self, job: Job, now: float) -> None:
-        """Reads go to the node that holds the data, new objects where most credit is left."""
+        """Reads go to the node that holds the data, new objects where an answer comes soonest."""
         self.count += 1
         lanes: list[Lane] = []
-        if job.rpc.shard >= 0:
-            homes = self.shards.get(job.rpc.shard) or [self.unplaced]
+        ran = [send.node.shard for send in job.rpc.sends if not (send.outcome and send.outcome.never_ran)]
+        shard = job.rpc.shard if job.rpc.shard >= 0 or not ran else ran[0]  # only there a repeat is dropped
+        if shard >= 0:
+            homes = self.shards.get(shard) or [self.unplaced]
             job.lane = homes[0]
             for lane in homes:
                 if lane.node.standing is Standing.LIVE:
@@ -587,18 +582,17 @@
                     break
         else:
             job.lane, lanes = self.unplaced, list(self.lanes.values())
-        best, few = 0.0, FEW
+        soonest, few = NEVER, FEW
         turn = crc32(f"{self.seed}:{self.count}".encode()) % len(lanes) if lanes else 0
         for lane in lanes[turn:] + lanes[:turn] if lanes else ():
-            if lane.node.standing is not Standing.LIVE or lane.strikes or lane.errors > 0.3:
+            credit = lane.slots() - lane.busy - len(lane.pressed)
+            if lane.node.standing is not Standing.LIVE or lane.strikes or lane.errors > 0.3 or credit <= 0:
                 continue
             few -= 1
-            if few < 0 and best:
+            if few < 0 and soonest < NEVER:
                 break
-            credit = float(lane.slots() - lane.busy - len(lane.pressed))
-            credit = credit and credit > 0 and 1e6 / (1.0 + lane.expected(job.rpc.units))
-            if credit > best and self.gate.cold_room(lane, now) >= NEVER:
-                best, job.lane = credit, lane
+            if lane.expected(job.rpc.units) < soonest and self.gate.cold_room(lane, now) >= NEVER:
+                soonest, job.lane = lane.expected(job.rpc.units), lane
         self.stir(job.lane, now)
         if job.queue is None and not job.rpc.sends:
             self.rank(job, now)
@@ -653,8 +647,7 @@
         job.join(None)
         self.gate.sent(job, lane, now)
         self.report(lane, SENT, job.rpc.units, 0.0, now)
-        until = min(job.soft if job.pressed else NEVER, job.rpc.give_up_ms)
-        return writer.send(job.rpc, lane.node, max(1.0, until - now))
+        return writer.send(job.rpc, lane.node, job.rpc.give_up_ms - now)
 
     def take_along(self, job: Job, send: Send, lane: Lane, now: float, writer: Writer) -> None:
         """What waits here anyway and adjoins shares the send and its slot, while nobody turns late by it.
@@ -692,7 +685,8 @@
         job = lane.sends[send]
         if job.lost and not send.lead:  # its end was told when it was long overdue
             self.report(lane, SENT, rpc.units, 0.0, now)
-        self.report(lane, ANSWERED if send.outcome is Outcome.OK else ENDED, rpc.units, send.took_ms, now)
+        ok = send.outcome is Outcome.OK and not send.lead
+        self.report(lane, ANSWERED if ok else ENDED, rpc.units, send.took_ms, now)
         lane.answered(send, now, self.tight)
         self.gate.outcome(send, now)
         job.volume.pass_time(now)
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -10,7 +10,7 @@
 
 from cherrygrade.records.grammar import RecordSyntaxError, parse
 from cherrygrade.records.lattice import Vertex, unify
-from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade, Volume
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade, Volume, Ways
 
 T = TypeVar("T")
 
@@ -73,6 +73,7 @@
     lines: Lines
     extents: Cuts
     peers: Pace
+    words: Ways
     budget: Any = None
 
 
@@ -92,7 +93,12 @@
         "least_units": record.measure.least_units,
     }
     bearings = convert({**given, "key_rest_ms": record.key_rest_ms}, Bearings)
-    return Site(record.place, trade, bearings, record.bounds, record.lines, cuts, record.peers)
+    site = Site(
+        record.place, trade, bearings, record.bounds, record.lines, cuts, record.peers, record.words
+    )
+    if site.mixed():
+        raise RecordError(site.mixed())
+    return site
 
 
 def read_site(path: Path, extra: str = "") -> Site:
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -123,6 +123,13 @@
     remember_ms: float = 30000.0
 
 
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """Where dispatchers hear each other's words, by number; none: they share nothing."""
+
+    places: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     place: Place
@@ -132,3 +139,26 @@
     lines: Lines
     cuts: Cuts
     pace: Pace
+    words: Ways = field(default_factory=Ways)
+
+    def mixed(self) -> list[str]:
+        """Where the settings are of two shapes at once: dispatchers that share nothing, or that tell each
+        other of nodes (docs/migration.md). Each fault names its key."""
+        place, permits, earnings, faults = self.place, self.bearings.permits, self.bearings.earnings, []
+        if self.words.places and not permits.peers:
+            faults.append("words.places: given, but permits.peers is false: dispatchers share nothing")
+        if not permits.peers:
+            return faults
+        if place.dispatchers < 2:
+            faults.append("permits.peers: true, but place.dispatchers is 1: there is nobody to tell")
+        if len(self.words.places) != place.dispatchers or len(set(self.words.places)) != place.dispatchers:
+            faults.append(
+                f"words.places: {len(self.words.places)} places, {len(set(self.words.places))} of them "
+                f"different; with permits.peers one for each of place.dispatchers ({place.dispatchers})"
+            )
+        if earnings.tells_elsewhere:
+            faults.append(
+                "earnings.tells_elsewhere: true, but with permits.peers nodes tell nothing of others' use: "
+                "the whole of each volume's due would be dealt out by every dispatcher"
+            )
+        return faults
--- a/cherrygrade/wire/messages.py
+++ b/cherrygrade/wire/messages.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct
 
 VERSION = 1
+MOST_WORD = 256
 
 Id = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 Name = Annotated[str, Meta(max_length=200)]
@@ -61,6 +62,12 @@
     come_back_ms: Ms = 0.0
 
 
+class Word(Message):
+    """A word of one dispatcher's module to another's."""
+
+    payload: Annotated[bytes, Meta(max_length=MOST_WORD)]
+
+
 class ReadRpc(Message):
     """A client's read."""
 
@@ -252,6 +259,7 @@
     2: Welcome,
     3: Bye,
     4: Leaving,
+    5: Word,
     10: ReadRpc,
     11: WriteRpc,
     12: Leave,
--- /dev/null
+++ b/tests/test_keepers.py
@@ -0,0 +1,209 @@
+"""Words between dispatchers on fakes: what all of them know of a node, and what is done with it."""
+
+from __future__ import annotations
+
+import pytest
+from fakehost import EXPORT, MARKED, READ, FakeHost
+
+from cherrygrade.interface import Earnings, Node, Outcome, Permits, Plan, Rpc
+
+PEERS = Permits(most_sends=4, cancel=True, come_back_ms=500.0, peers=True)
+MARKS = Permits(most_sends=4, come_back_ms=500.0, marks_repeats=True)
+
+
+class Room:
+    """Dispatchers that hear each other at once, before the same nodes."""
+
+    def __init__(self, dispatchers: int, nodes: int = 1) -> None:
+        self.hosts = [
+            FakeHost(nodes, number=number, dispatchers=dispatchers, seed=number, permits=PEERS)
+            for number in range(dispatchers)
+        ]
+        self.words = 0
+        self.dead: set[int] = set()
+        for number, host in enumerate(self.hosts):
+            host.tell = lambda peer, word, number=number: self.tell(number, peer, word)
+
+    def tell(self, number: int, peer: int | None, word: bytes) -> None:
+        assert len(word) <= 256
+        self.words += 1
+        for other, host in enumerate(self.hosts):
+            if other not in (number, *self.dead) and peer in (None, other):
+                host.dispatcher.decide(host.now, host, words=[word])
+
+    def pass_time(self, ms: float) -> None:
+        for _ in range(int(ms / 10.0)):
+            for host in self.hosts:
+                host.now += 10.0
+                host.round()
+
+    def load(self, number: int, rounds: int, took_ms: float) -> None:
+        """One dispatcher's exports at the first node, each answered after so long."""
+        host = self.hosts[number]
+        for _ in range(rounds):
+            host.take(*[host.rpc(EXPORT, units=4.0) for _ in range(3)])
+            self.pass_time(took_ms)
+            for send in [send for send in host.sent if send.outcome is None]:
+                host.answer(send)
+
+
+def test_what_one_dispatcher_has_out_is_known_to_another_that_never_sent_there():
+    room = Room(3)
+    keeper = next(iter(room.hosts[0].dispatcher.lanes.values())).place % 3
+    sender, other = (number for number in range(3) if number != keeper)
+    for host in room.hosts:
+        host.dispatcher.lanes[host.nodes[0]].window = 40.0
+    sending = room.hosts[sender]
+    for _ in range(20):
+        sending.take(*[sending.rpc(EXPORT, units=4.0) for _ in range(2)])
+        room.pass_time(50.0)
+        late = [send for send in sending.sent if send.outcome is None and sending.now - send.sent_ms > 300.0]
+        for send in late:
+            sending.answer(send)
+    lane = room.hosts[other].dispatcher.lanes[room.hosts[other].nodes[0]]
+    assert not lane.sends and lane.queue_ms > 200.0
+    # So a read that could not be in time does not press: it goes at its late value, if at all.
+    read = room.hosts[other].rpc(READ)
+    room.hosts[other].take(read)
+    assert not room.hosts[other].dispatcher.jobs[read].pressed
+
+
+def test_a_dead_keeper_costs_words_only_and_the_lane_goes_by_what_it_sees():
+    room = Room(2)
+    keeper = next(iter(room.hosts[0].dispatcher.lanes.values())).place % 2
+    room.dead.add(keeper)
+    room.load(1 - keeper, 5, 100.0)
+    host = room.hosts[1 - keeper]
+    assert sum(1 for send in host.sent if send.outcome is Outcome.OK) >= 5
+    assert not host.dispatcher.lanes[host.nodes[0]].known(host.now)
+
+
+def test_a_keeper_forgets_what_a_dispatcher_that_died_never_ended():
+    room = Room(2)
+    keeper = next(iter(room.hosts[0].dispatcher.lanes.values())).place % 2
+    host, keeping = room.hosts[1 - keeper], room.hosts[keeper]
+    host.take(*[host.rpc(EXPORT, units=4.0) for _ in range(2)])
+    kept = next(iter(keeping.dispatcher.kept.values()))
+    assert kept.out == 8.0
+    for _ in range(1600):
+        keeping.now += 10.0
+        keeping.round()
+    assert kept.out < 2.0 and not keeping.dispatcher.kept
+
+
+def test_without_peers_nobody_is_told_anything():
+    host = FakeHost()  # a word would have nowhere to go: this writer has no `tell`
+    for _ in range(20):
+        host.take(host.rpc())
+        host.pass_time(20.0)
+        for send in [send for send in host.sent if send.outcome is None]:
+            host.answer(send)
+    assert len(host.sent) == 20
+
+
+@pytest.mark.parametrize("word", [b"", b"\x03", b"\xff" * 256, b"\x00" * 6, b"\x03" + b"\xff" * 5])
+def test_a_word_of_nonsense_changes_nothing_that_matters(word):
+    host = FakeHost(permits=PEERS, dispatchers=2)
+    host.tell = lambda peer, told: None
+    host.round(words=[word])
+    host.take(host.rpc())
+    assert len(host.sent) == 1 and len(host.dispatcher.kept) <= 1
+
+
+def test_silence_strikes_nobody_while_the_keeper_sees_answers():
+    # Answers get lost on their way: the node lives, and others are answered by it.
+    strikes = []
+    for heard in (False, True):
+        place = next(iter(FakeHost().dispatcher.lanes.values())).place
+        host = FakeHost(permits=PEERS, dispatchers=2, number=1 - place % 2)
+        host.tell = lambda peer, told: None
+        lane = host.dispatcher.lanes[host.nodes[0]]
+        host.pass_time(20.0)
+        host.take(host.rpc())
+        for _ in range(100):
+            host.pass_time(10.0)
+            if heard:
+                lane.hear(host.now, 0.0, 20.0)
+        strikes.append(lane.strikes)
+    assert strikes[0] >= 1 and strikes[1] == 0
+
+
+def test_a_first_try_in_haste_is_no_repeat_where_repeats_are_marked():
+    # Its client left itself little time; taken for a repeat it was late, and rejected at once.
+    sent = []
+    for permits in (Permits(most_sends=4, come_back_ms=500.0), MARKS):
+        host = FakeHost(permits=permits)
+        host.dispatcher.lanes[host.nodes[0]].unit_ms = 10.0
+        host.take(host.rpc(key="a"))
+        host.answer(host.sent[0])
+        host.pass_time(1000.0)
+        hasty = host.rpc(gives_up=90.0)
+        host.take(hasty)
+        sent.append([hasty.sends != [], host.dispatcher.jobs[hasty].pressed if hasty.sends else None])
+    assert sent == [[True, False], [True, True]]
+
+
+def test_what_lay_while_the_dispatcher_stood_still_is_late_though_unmarked():
+    host = FakeHost(permits=MARKS)
+    host.take(host.rpc(EXPORT), host.rpc(key="b"))
+    for send in [*host.sent]:
+        host.answer(send)
+    host.now += 900.0
+    old = host.rpc(gives_up=READ.deadline_ms - 900.0)
+    host.take(old)
+    assert old in host.rejected or not host.dispatcher.jobs[old].pressed
+
+
+def test_a_tokened_new_object_that_may_have_run_goes_back_to_its_node():
+    # Only there is a repeat dropped; it used to wait at a node that the gate never opens for it.
+    host = FakeHost(nodes=12)
+    for node in host.nodes:
+        node.zone = node.address
+    tokened = host.rpc(MARKED, shard=-1, gives_up=1500.0)
+    host.take(tokened)
+    first = host.sent[0]
+    host.now += 5.0
+    host.answer(first, Outcome.RESET)
+    host.pass_time(50.0)
+    assert [send.node for send in host.sent] == [first.node, first.node]
+
+
+def test_a_second_rpc_of_a_quiet_volume_is_still_inside_its_share():
+    # Fair-queueing time stood still where no other volume came through, so the second was beyond.
+    host = FakeHost(earnings=Earnings(in_share=1.0, beyond=0.1))
+    plan = Plan("quiet", usual_rate=10.0, weight=1.0)
+    levels = []
+    for volume in ("v", "v", "w"):
+        rpc = Rpc(READ, plan, volume, 4, "", 0, 1.0, host.now + 2000.0)
+        host.take(rpc)
+        levels.append(host.dispatcher.jobs[rpc].level)
+        host.pass_time(400.0)
+    assert levels == [1.0, 1.0, 1.0]
+
+
+def test_a_volume_far_over_its_usual_rate_is_beyond_its_share():
+    host = FakeHost(earnings=Earnings(in_share=1.0, beyond=0.1))
+    plan = Plan("loud", usual_rate=10.0)
+    rpcs = [Rpc(EXPORT, plan, "v", 4, "", 0, 2.0, host.now + 5000.0) for _ in range(6)]
+    host.take(*rpcs)
+    assert [host.dispatcher.jobs[rpc].level for rpc in rpcs][-1] == 0.1
+
+
+def test_new_objects_go_where_an_answer_comes_sooner():
+    host = FakeHost(nodes=2)
+    slow, quick = (host.dispatcher.lanes[node] for node in host.nodes)
+    slow.unit_ms, quick.unit_ms = 200.0, 10.0
+    for _ in range(20):
+        host.take(host.rpc(shard=-1))
+        for send in [send for send in host.sent if send.outcome is None]:
+            host.answer(send)
+        slow.unit_ms, quick.unit_ms = 200.0, 10.0
+        host.pass_time(50.0)
+    assert {send.node for send in host.sent} == {quick.node}
+
+
+def test_the_table_of_places_follows_the_list():
+    host = FakeHost(permits=PEERS, dispatchers=2)
+    host.tell = lambda peer, told: None
+    host.round(heard=[Node("10.0.9.9:1", shard=3)])
+    assert {lane.node.address for lane in host.dispatcher.places.values()} >= {"10.0.9.9:1", "10.0.0.0:1"}
--- /dev/null
+++ b/tests/test_words.py
@@ -0,0 +1,144 @@
+"""Words between dispatchers on loopback: the way of a word, what breaks it, and what settings allow it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from house import PERMITS, House, run
+
+from cherrygrade.client import Ok
+from cherrygrade.records.load import RecordError, read_site
+
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.rec"
+
+
+def ports(count: int) -> list[str]:
+    """Free ports of loopback; bound together, so that they differ."""
+    holds = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    places = [f"127.0.0.1:{hold.getsockname()[1]}" for hold in holds]
+    for hold in holds:
+        hold.close()
+    return places
+
+
+async def pair(house: House, places: list[str]):
+    permits = replace(PERMITS, peers=True)
+    return [
+        await house.gateway(number=number, dispatchers=2, permits=permits, places=places)
+        for number in range(2)
+    ]
+
+
+async def use(client, rounds: int) -> None:
+    for index in range(rounds):
+        assert isinstance(await client.write("write", "v", f"k{index}", b"x" * 4096, deadline_ms=1500), Ok)
+
+
+async def until(seen, seconds: float = 3.0) -> None:
+    for _ in range(int(seconds / 0.01)):
+        if seen():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("not seen in time")
+
+
+def test_what_one_dispatcher_sends_is_told_to_the_one_that_keeps_the_node():
+    async def story(house: House) -> None:
+        node = await house.node()
+        gateways = await pair(house, ports(2))
+        modules = [gateway.rounds._dispatcher for gateway in gateways]
+        lane = next(iter(modules[0].lanes.values()))
+        keeper = lane.place % 2
+        client = house.client(gateways[1 - keeper])
+        for _ in range(20):  # words before the connection stands are lost
+            await use(client, 5)
+            if modules[keeper].kept:
+                break
+        kept = next(iter(modules[keeper].kept.values()))
+        await until(lambda: kept.unit > 0.0)
+        other = modules[1 - keeper]
+        for _ in range(80):  # the way back is made by the first word, which is lost
+            await use(client, 5)
+            if any(one.told_at > 0.0 for one in other.lanes.values()):
+                break
+            await asyncio.sleep(0.05)
+        assert any(one.told_at > 0.0 for one in other.lanes.values())
+        assert node.address == lane.node.address
+
+    run(story)
+
+
+def test_nonsense_at_the_words_place_ends_that_connection_only():
+    async def story(house: House) -> None:
+        await house.node()
+        places = ports(2)
+        gateways = await pair(house, places)
+        host, _, port = places[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\n\r\n" * 8)
+        await asyncio.wait_for(reader.read(), 3.0)
+        await use(house.client(gateways[0]), 3)
+        assert not gateways[0].done.done()
+        writer.close()
+        await until(lambda: not [ear for ear in gateways[0].words.ears if not ear.greeted])
+
+    run(story)
+
+
+def test_a_dispatcher_that_is_away_costs_words_and_no_answer():
+    async def story(house: House) -> None:
+        await house.node()
+        gateways = await pair(house, ports(2))
+        gateways[1]._end(0)
+        await use(house.client(gateways[0]), 10)
+        words = gateways[0].words
+        assert words.said + words.lost > 0 or gateways[0].rounds._dispatcher.kept
+
+    run(story)
+
+
+def test_settings_as_they_were_open_no_way_and_tell_nobody():
+    async def story(house: House) -> None:
+        await house.node()
+        gateway = await house.gateway()
+        await use(house.client(gateway), 3)
+        assert gateway.words is None and not gateway.rounds._dispatcher.kept
+
+    run(story)
+    site = read_site(EXAMPLE)
+    permits = site.bearings.permits
+    assert not (permits.peers or permits.marks_repeats or site.words.places)
+
+
+NEW = """
+permits: {peers: true, marks_repeats: true, copies: true}
+earnings: tells_elsewhere: false
+words: places: ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]
+"""
+
+
+def test_the_same_file_serves_the_new_shape_by_its_settings_alone():
+    site = read_site(EXAMPLE, NEW)
+    assert site.bearings.permits.peers and len(site.words.places) == 3
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        (NEW.replace("peers: true", "peers: false"), "words.places"),
+        (NEW.replace(', "127.0.0.1:3"', ""), "words.places"),
+        (NEW.replace("127.0.0.1:3", "127.0.0.1:1"), "words.places"),
+        (NEW.replace("tells_elsewhere: false", "tells_elsewhere: true"), "earnings.tells_elsewhere"),
+        ("permits: peers: true\nearnings: tells_elsewhere: false", "words.places"),
+        ('words: places: ["here"]', "words.places"),
+        ("permits: marks_repeats: 3", "permits.marks_repeats"),
+    ],
+)
+def test_settings_of_two_shapes_at_once_are_refused_with_the_key(text, key):
+    with pytest.raises(RecordError) as told:
+        read_site(EXAMPLE, text)
+    assert any(key in fault for fault in told.value.faults)
