--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -138,6 +138,8 @@
         """A line each minute of what ranges and room came to; none of what did nothing."""
         self.ranges.tell()
         self.rooms.tell()
+        if self.words is not None:
+            self.log("words", said=self.words.said, lost=self.words.lost)
         self._telling = asyncio.get_running_loop().call_later(TELL_S, self._tell)
 
     def _linger_over(self) -> None:
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -32,6 +32,7 @@
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
 TELL_MS, WORD, MOST_WORDS = 100.0, ">BHBH", 40  # between dispatchers: kind, node, units, ms
 SENT, ANSWERED, ENDED, WAITING = range(4)
+PASSED_MS = 500.0  # sent this long before an answered one, an RPC out has ended or lost its answer
 TOLD_MS = 3000.0  # how long a keeper's word stands
 SHARE_PART = 0.35  # of a volume's usual rate: what comes through one dispatcher inside its share
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
@@ -228,20 +229,17 @@
         self.batch_out -= not (job.lost or job.pressed)
         job.lost = True
 
-    def watch(self, now: float, patience: float) -> list[Send]:
+    def watch(self, now: float, patience: float) -> None:
         """Guards against lost messages and silent nodes: a long overdue send holds no slot any more."""
         self.due, silent = NEVER, False
-        lost: list[Send] = []
         for send, job in self.sends.items():
             if not job.lost and now <= job.overdue:
                 self.due = min(self.due, job.overdue)
             elif not job.lost:
                 self.free(job)
-                lost.append(send)
                 silent = silent or self.last_answer < send.sent_ms
         if silent and not (self.known(now) and self.queue_ms < 2000.0):  # else others are answered
             self.trouble(now, patience)
-        return lost
 
     def trouble(self, now: float, patience: float) -> None:  # dead, silent, unreachable: single trials
         self.strikes, self.struck_at = self.strikes + 1, self.struck_at if self.strikes else now
@@ -291,13 +289,20 @@
 
     def __init__(self, now: float, busy: float) -> None:
         self.at, self.heard, self.told_at, self.answered_at, self.busy = now, now, now, now, busy
-        self.out = self.done = self.rate = 0.0  # units; answered since the last step; answered a ms
-        self.wait, self.unit, self.told = 0.0, 0.0, (0.0, 0.0)
+        self.sends: list[tuple[float, float]] = []  # units out; emptied by answers to these or later ones
+        self.done = self.rate = self.wait = self.unit = 0.0  # answered since the last step; answered a ms
+        self.told = (0.0, 0.0)
 
     def note(self, kind: int, units: float, took: float, now: float) -> None:
         self.heard = now
-        self.out = max(0.0, self.out + (units if kind == SENT else -units))
+        if kind == SENT:
+            return self.sends.append((now, units))
+        # Nodes take RPCs in turn: what went well before an answered one has ended, or its answer is lost.
+        at = now - took
+        if self.sends:
+            self.sends.remove(min(self.sends, key=lambda send: abs(send[0] - at)))
         if kind == ANSWERED:
+            self.sends = [send for send in self.sends if send[0] > at - PASSED_MS]
             self.done, self.answered_at = self.done + units, now
             work = max(took - self.wait, 0.2 * took) / max(units, 0.1)
             self.unit += (0.15 if self.unit else 1.0) * (work - self.unit)
@@ -305,10 +310,12 @@
     def step(self, now: float) -> bool:
         """Whether what is known is worth telling. Units out over units answered a ms: how long one stays."""
         gap, self.at = max(1.0, now - self.at), now
-        if self.out > self.busy:
+        self.sends = [send for send in self.sends if send[0] > now - 4000.0]
+        out = sum(units for _, units in self.sends)
+        if out > self.busy:
             self.rate += (0.2 if self.rate else 1.0) * (self.done / gap - self.rate)
-        self.done, self.out = 0.0, self.out * 0.5 ** (gap / 4000.0)  # the dead never end their own
-        over, silent = self.out - self.busy, self.out > 0.0 and now > self.answered_at + 2000.0
+        self.done = 0.0
+        over, silent = out - self.busy, out > 0.0 and now > self.answered_at + 2000.0
         self.wait = min(4000.0, max(0.0, over) / max(self.rate, 0.001)) if self.rate else 0.0
         self.wait, (wait, unit) = 4000.0 if silent else self.wait, self.told
         moved = abs(self.wait - wait) > 35.0 + 0.3 * wait or abs(self.unit - unit) > 0.4 * unit
@@ -466,8 +473,7 @@
     def tend(self, lane: Lane, now: float, writer: Writer) -> None:
         """All that may be due at a lane; each part lowers `due` to when it wants the next look."""
         before = lane.due
-        for send in lane.watch(now, 1.5 * self.tight):
-            self.report(lane, ENDED, send.rpc.units, 0.0, now)
+        lane.watch(now, 1.5 * self.tight)
         self.sweep(lane, now, writer)
         self.fill(lane, now, writer)
         del self.stirred[lane]
@@ -683,8 +689,6 @@
         lane, rpc = self.lanes[send.node], send.rpc
         self.stir(lane, now)
         job = lane.sends[send]
-        if job.lost and not send.lead:  # its end was told when it was long overdue
-            self.report(lane, SENT, rpc.units, 0.0, now)
         ok = send.outcome is Outcome.OK and not send.lead
         self.report(lane, ANSWERED if ok else ENDED, rpc.units, send.took_ms, now)
         lane.answered(send, now, self.tight)
