--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -61,7 +61,7 @@
         self.store = min(plan.limit_depth / self.hosts, self.store + plan.limit_rate / self.hosts * gap)
 
     def shares(self, units: float) -> bool:
-        """Take units from the share; what comes beyond it leaves it empty."""
+        """Take units from the share; one that it does not hold whole is beyond it and leaves it empty."""
         self.open = max(0.0, self.open - units)
         return self.open > 0.0
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -202,6 +202,16 @@
     assert [host.dispatcher.jobs[rpc].level for rpc in rpcs][-1] == 0.1
 
 
+def test_an_rpc_that_its_volumes_share_does_not_hold_whole_is_beyond_it():
+    # So a small volume's large exports give way, and are not kept once late: what a full house needs.
+    host = FakeHost(earnings=Earnings(in_share=1.0, beyond=0.1))
+    plan = Plan("small", usual_rate=10.0)
+    sizes = (("a", 3.0), ("b", 4.0))
+    rpcs = [Rpc(EXPORT, plan, volume, 4, "", 0, units, host.now + 5000.0) for volume, units in sizes]
+    host.take(*rpcs)
+    assert [host.dispatcher.jobs[rpc].level for rpc in rpcs] == [1.0, 0.1]
+
+
 def test_new_objects_go_where_an_answer_comes_sooner():
     host = FakeHost(nodes=2)
     slow, quick = (host.dispatcher.lanes[node] for node in host.nodes)
