--- a/cherrygrade/door.py
+++ b/cherrygrade/door.py
@@ -20,12 +20,10 @@
     def clear(self) -> None:
         self.taken: list[Rpc] = []
         self.answers: list[Send] = []
-        self.begun: list[Send] = []
         self.left: list[Rpc] = []
         self.heard: list[Node] = []
-        self.probed: list[tuple[Node, bool, float, dict[str, float]]] = []
         self.list_answered: bool | None = None
-        self.words: list[bytes] = []
+        self.words: list[tuple[int, bytes]] = []
 
     def decide(self, dispatcher: Dispatcher, now: float, writer: Writer) -> None:
         """One round of the module with all that came in."""
@@ -34,10 +32,8 @@
             writer,
             taken=self.taken,
             answers=self.answers,
-            begun=self.begun,
             left=self.left,
             heard=self.heard,
-            probed=self.probed,
             list_answered=self.list_answered,
             words=self.words,
         )
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -139,7 +139,10 @@
         self.ranges.tell()
         self.rooms.tell()
         if self.words is not None:
-            self.log("words", said=self.words.said, lost=self.words.lost)
+            words, module = self.words, self.rounds.module
+            counts = {"said": words.said, "lost": words.lost, "dropped": words.dropped}
+            if any(counts.values()) or module.nonsense:
+                self.log("words", **counts, nonsense=module.nonsense)
         self._telling = asyncio.get_running_loop().call_later(TELL_S, self._tell)
 
     def _linger_over(self) -> None:
--- a/cherrygrade/gateway/rounds.py
+++ b/cherrygrade/gateway/rounds.py
@@ -47,7 +47,7 @@
         self.inbox = Inbox()
         self.now = 0.0
         self.count = 0
-        self._dispatcher, self._carrier, self._crashed, self._log = dispatcher, carrier, crashed, log
+        self.module, self._carrier, self._crashed, self._log = dispatcher, carrier, crashed, log
         self._loop = asyncio.get_running_loop()
         self._time = self._loop.time
         self._stirred = self._ended = self._deciding = False
@@ -80,9 +80,9 @@
             self.inbox.left.append(held)
             self.stir()
 
-    def hear(self, payload: bytes) -> None:
+    def hear(self, peer: int, payload: bytes) -> None:
         """A word of another dispatcher came."""
-        self.inbox.words.append(payload)
+        self.inbox.words.append((peer, payload))
         self.stir()
 
     def outcome(self, out: Out, outcome: Outcome, body: bytearray | memoryview | None = None) -> None:
@@ -120,7 +120,7 @@
         self._carrier.before_round(self.now)
         oks, self._oks = self._oks, []
         try:
-            self.inbox.decide(self._dispatcher, self.now, self)
+            self.inbox.decide(self.module, self.now, self)
         except Exception as trouble:  # the module's fault: nothing it wrote in this round can be trusted
             self._ended = True
             came = self.inbox
--- a/cherrygrade/gateway/words.py
+++ b/cherrygrade/gateway/words.py
@@ -15,6 +15,8 @@
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import MOST_WORD, VERSION, Bye, Hello, Welcome, Word
 
+RATE = 400  # words of one dispatcher that are heard in a second; the rest is dropped
+
 CONNECT_S, HELLO_S = 2.0, 2.0
 UNREAD = 16 * 1024  # bytes that may wait for another dispatcher; words beyond them are lost
 
@@ -22,8 +24,10 @@
 class Mouth:
     """The connection to one other dispatcher; made when there is something to say, again after a wait."""
 
-    def __init__(self, place: str, name: str, clock: Callable[[], float], log: Callable[..., None]) -> None:
-        self.place, self.name, self._clock, self._log = place, name, clock, log
+    def __init__(
+        self, place: str, name: str, seat: str, clock: Callable[[], float], log: Callable[..., None]
+    ) -> None:
+        self.place, self.name, self.seat, self._clock, self._log = place, name, seat, clock, log
         self._conn: Connection | None = None
         self._task: asyncio.Task[None] | None = None
         self._backoff, self._not_before = Backoff(f"{name}>{place}"), 0.0
@@ -58,7 +62,7 @@
     def connected(self, conn: Connection) -> None:
         self._conn, self._task = conn, None
         self._backoff.made(self._clock())
-        conn.send(Hello(VERSION, "peer", self.name))
+        conn.send(Hello(VERSION, "peer", self.name, [self.seat]))
 
     def room(self, conn: Connection, message: Any, length: int) -> None:
         return None
@@ -77,10 +81,11 @@
 
 
 class Ear:
-    """A connection that came in: a hello, then words."""
+    """A connection that came in: a hello that tells who speaks, then words."""
 
     def __init__(self, words: Words) -> None:
-        self.words, self.greeted = words, False
+        self.words, self.number = words, -1
+        self._second, self._heard = 0.0, 0
         self.conn = Connection(self, 0)
         self._greeting: asyncio.TimerHandle | None = None
 
@@ -95,10 +100,21 @@
         return None
 
     def frame(self, conn: Connection, message: Any, body: object) -> None:
-        if isinstance(message, Word) and self.greeted:
-            self.words.came(message.payload)
-        elif isinstance(message, Hello) and not self.greeted and message.role == "peer":
-            self.greeted = True
+        if isinstance(message, Word) and self.number >= 0:
+            second = self.words.clock() // 1000.0
+            self._heard = self._heard + 1 if second == self._second else 1
+            self._second = second
+            if self._heard > RATE:
+                self.words.dropped += 1
+            else:
+                self.words.came(self.number, message.payload)
+        elif isinstance(message, Hello) and self.number < 0 and message.role == "peer":
+            number = self.words.number_of(message.features)
+            if number is None:
+                why = f"dispatcher of another fleet: {message.features[:1]}, not {self.words.seats}"
+                conn.close(why[:900])
+                return
+            self.number = number
             assert self._greeting is not None
             self._greeting.cancel()
             conn.send(Welcome(min(VERSION, message.version), self.words.name))
@@ -126,12 +142,16 @@
         number: int,
         name: str,
         clock: Callable[[], float],
-        heard: Callable[[bytes], None],
+        heard: Callable[[int, bytes], None],
         log: Callable[..., None],
     ) -> None:
-        self.name, self.came, self.said, self.lost = name, heard, 0, 0
+        self.name, self.came, self.clock = name, heard, clock
+        self.said = self.lost = self.dropped = 0
+        self.seats = [f"{at}/{len(places)}" for at in range(len(places))]
         self.mouths = {
-            at: Mouth(place, name, clock, log) for at, place in enumerate(places) if at != number
+            at: Mouth(place, name, self.seats[number], clock, log)
+            for at, place in enumerate(places)
+            if at != number
         }
         self.ears: dict[Ear, None] = {}
         self._own = places[number]
@@ -143,6 +163,12 @@
         door.setblocking(False)
         self._server = await asyncio.get_running_loop().create_server(lambda: Ear(self).conn, sock=door)
 
+    def number_of(self, features: Sequence[str]) -> int | None:
+        """Who speaks, if it is one of the others of this fleet."""
+        seat = features[0] if features else ""
+        number = self.seats.index(seat) if seat in self.seats else -1
+        return number if number in self.mouths else None
+
     def tell(self, peer: int | None, payload: bytes) -> None:
         if len(payload) > MOST_WORD:
             raise ValueError(f"a word of {len(payload)} bytes; at most {MOST_WORD}")
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -32,8 +32,7 @@
 FLOOR, START, CEILING = 1.0, 2.0, 72.0  # window: many dispatchers share a node, so the floor is one slot
 TELL_MS, WORD, MOST_WORDS = 100.0, ">BHBH", 40  # between dispatchers: kind, node, units, ms
 SENT, ANSWERED, ENDED, WAITING = range(4)
-PASSED_MS = 500.0  # sent this long before an answered one, an RPC out has ended or lost its answer
-TOLD_MS = 3000.0  # how long a keeper's word stands
+TOLD_MS, PASSED_MS = 3000.0, 500.0  # a keeper's word stands so long; an RPC passed over by so much has ended
 SHARE_PART = 0.35  # of a volume's usual rate: what comes through one dispatcher inside its share
 LOW, HIGH = 0.05, 0.12  # window bounds: waiting at the node, as a part of the soft deadline
 
@@ -434,21 +433,20 @@
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
         self.ask_spread = self.ask_wait = max(1000.0, 25.0 * dispatchers)  # all at once would jam discovery
         self.ask_at = 0.0 if permits.must_ask else NEVER
-        self.tell_at = NEVER
+        self.tell_at, self.nonsense = NEVER, 0  # words that made no sense, since the host last asked
         self.kept: dict[Lane, Keeper] = {}  # nodes whose load is pooled here; dropped once quiet
         self.said: dict[int | None, list[bytes]] = {}  # words of this round; emptied by it
         self.places: dict[int, Lane] = {}  # lanes as peers name them; made anew with each list
         self.before = self.now = 0.0  # the round before this one, and this
 
     def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
-               begun: Sequence[Send] = (), left: Sequence[Rpc] = (), heard: Sequence[Node] = (),
-               probed: Sequence[tuple[Node, bool, float, dict[str, float]]] = (),
-               list_answered: bool | None = None, words: Sequence[bytes] = ()) -> None:
+               left: Sequence[Rpc] = (), heard: Sequence[Node] = (), list_answered: bool | None = None,
+               words: Sequence[tuple[int, bytes]] = ()) -> None:
         self.gate.pass_time(now)
         self.list(now, heard, list_answered)
         self.before, self.now = self.now, now
-        for word in words:
-            self.hear(word, now)
+        for peer, word in words:
+            self.hear(peer, word, now)
         for send in answers:
             self.settle(send, now, writer)
         for rpc in left:
@@ -482,14 +480,18 @@
             self.count += 1
             heappush(self.dues, (lane.due, self.count, lane))
 
-    def hear(self, word: bytes, now: float) -> None:
-        """A peer's word; one that is cut short says nothing, and nothing here needs it."""
-        for kind, place, units, value in iter_unpack(WORD, word) if len(word) % calcsize(WORD) == 0 else ():
-            lane = self.places.get(place)
-            if lane and kind == WAITING:
+    def hear(self, peer: int, word: bytes, now: float) -> None:
+        """A peer's word. What is cut short, or not of or to the keeper, moves nothing and is counted."""
+        whole = len(word) % calcsize(WORD) == 0
+        for kind, place, units, value in iter_unpack(WORD, word) if whole else ():
+            lane, keeper = self.places.get(place), place % self.gate.dispatchers
+            told, report = kind == WAITING and keeper == peer, kind < WAITING and keeper == self.gate.number
+            if lane and told:
                 lane.hear(now, float(value), 2.0 * units)
-            elif lane:
+            elif lane and report:
                 self.keep(lane, kind, units / 10.0, float(value), now)
+            self.nonsense += not (told or report)
+        self.nonsense += not whole
 
     def keep(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
         if lane not in self.kept:
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from importlib import resources
 from pathlib import Path
 from typing import Any, TypeVar
@@ -77,8 +78,8 @@
     budget: Any = None
 
 
-def site_from(value: dict[str, Any]) -> Site:
-    """The parts of a site from a checked record."""
+def site_from(value: dict[str, Any], where: Callable[[str], str] = lambda key: "") -> Site:
+    """The parts of a site from a checked record; `where` tells a key's place for what is wrong."""
     record = convert({"workloads": {}, "plans": {}, "volumes": {}, **value}, _SiteRecord)
     given = {name: value[name] for name in ("earnings", "cold", "budget", "permits") if name in value}
     trade = convert(
@@ -96,11 +97,19 @@
     site = Site(
         record.place, trade, bearings, record.bounds, record.lines, cuts, record.peers, record.words
     )
-    if site.mixed():
-        raise RecordError(site.mixed())
+    if site.faults():
+        raise RecordError([f"{where(key)}{key}: {what}" for key, what in site.faults()])
     return site
 
 
 def read_site(path: Path, extra: str = "") -> Site:
     """A dispatcher's settings. Raises RecordError with every error at once."""
-    return site_from(plain(read_vertex(path, "site.rec", extra)))
+    vertex = read_vertex(path, "site.rec", extra)
+
+    def where(key: str) -> str:
+        found = vertex
+        for label in key.split("."):
+            found = found.arcs[label]
+        return f"{found.words[0].at if found.words else found.conjuncts[-1].tree.at}: "
+
+    return site_from(plain(vertex), where)
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -141,24 +141,24 @@
     pace: Pace
     words: Ways = field(default_factory=Ways)
 
-    def mixed(self) -> list[str]:
-        """Where the settings are of two shapes at once: dispatchers that share nothing, or that tell each
-        other of nodes (docs/migration.md). Each fault names its key."""
-        place, permits, earnings, faults = self.place, self.bearings.permits, self.bearings.earnings, []
-        if self.words.places and not permits.peers:
-            faults.append("words.places: given, but permits.peers is false: dispatchers share nothing")
+    def faults(self) -> list[tuple[str, str]]:
+        """Keys, and what is wrong with them beside others: limits without a depth, and settings of two
+        shapes at once, dispatchers that share nothing or that tell each other (docs/migration.md)."""
+        place, permits, earnings = self.place, self.bearings.permits, self.bearings.earnings
+        places, found = self.words.places, []
+        for plan in {volume.plan.name: volume.plan for volume in self.trade.volumes.values()}.values():
+            if plan.limit_rate and not plan.limit_depth:
+                found.append((f"plans.{plan.name}.limit_depth", "0, but limit_rate is set: nothing could go"))
+        if places and not permits.peers:
+            found.append(("words.places", "given, but permits.peers is false: dispatchers share nothing"))
         if not permits.peers:
-            return faults
+            return found
         if place.dispatchers < 2:
-            faults.append("permits.peers: true, but place.dispatchers is 1: there is nobody to tell")
-        if len(self.words.places) != place.dispatchers or len(set(self.words.places)) != place.dispatchers:
-            faults.append(
-                f"words.places: {len(self.words.places)} places, {len(set(self.words.places))} of them "
-                f"different; with permits.peers one for each of place.dispatchers ({place.dispatchers})"
-            )
+            found.append(("permits.peers", "true, but place.dispatchers is 1: there is nobody to tell"))
+        if len(places) != place.dispatchers or len(set(places)) != place.dispatchers:
+            needed = f"with permits.peers one for each of place.dispatchers ({place.dispatchers})"
+            found.append(("words.places", f"{len(places)} places, {len(set(places))} different; {needed}"))
         if earnings.tells_elsewhere:
-            faults.append(
-                "earnings.tells_elsewhere: true, but with permits.peers nodes tell nothing of others' use: "
-                "the whole of each volume's due would be dealt out by every dispatcher"
-            )
-        return faults
+            why = "with permits.peers nodes tell nothing of others' use: each would deal out the whole due"
+            found.append(("earnings.tells_elsewhere", f"true, but {why}"))
+        return found
--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -127,11 +127,11 @@
         self._events: dict[str, Callable[[list[str]], None]] = {
             "INCOMING": self._incoming,
             "COMPLETED": self._completed,
-            "HEADERS": self._headers,
+            "HEADERS": lambda parts: None,  # the ok that follows tells all that is read
             "CANCELLED_BY_CLIENT": self._left,
             "DEADLINE_HIT": lambda parts: None,
             "ANNOUNCE": self._announce,
-            "SAMPLED": self._sampled,
+            "SAMPLED": lambda parts: None,  # nothing is probed
             "NOTE_FROM": self._note,
         }
 
@@ -247,10 +247,6 @@
         instance.inbox.answers.append(send)
         instance.touched.add(xid)
 
-    def _headers(self, parts: list[str]) -> None:
-        instance = self._instances[parts[1]]
-        instance.inbox.begun.append(instance.rpcs[parts[2]].sends[int(number(parts[5]))])
-
     def _left(self, parts: list[str]) -> None:
         instance = self._instances[parts[1]]
         rpc = instance.rpcs.get(parts[2])
@@ -278,10 +274,5 @@
         instance.inbox.heard += instance.nodes.told(named, whole=mode != "D")
 
     def _note(self, parts: list[str]) -> None:
-        self._instances[parts[1]].inbox.words.append(b"" if parts[3] == "-" else base64.b64decode(parts[3]))
-
-    def _sampled(self, parts: list[str]) -> None:
-        instance = self._instances[parts[1]]
-        node = instance.nodes.by_address.get(parts[2])
-        if node is not None:
-            instance.inbox.probed.append((node, parts[3] == "200", ms(parts[4]), load_report(parts[5])))
+        payload = b"" if parts[3] == "-" else base64.b64decode(parts[3])
+        self._instances[parts[1]].inbox.words.append((int(number(parts[2])), payload))
--- a/tests/house.py
+++ b/tests/house.py
@@ -122,13 +122,13 @@
             assert (store.used, store.batch, store.slow, store.waits) == (0, 0, 0, 0)
 
 
-def run(story: Callable[[House], Coroutine[Any, Any, None]]) -> None:
-    """Play a story in a house of its own, within ten seconds."""
+def run(story: Callable[[House], Coroutine[Any, Any, None]], seconds: float = 10.0) -> None:
+    """Play a story in a house of its own, within its time."""
 
     async def play() -> None:
         house = House()
         try:
-            await asyncio.wait_for(story(house), 10.0)
+            await asyncio.wait_for(story(house), seconds)
         finally:
             await house.close()
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from struct import pack
+
 import pytest
 from fakehost import EXPORT, MARKED, READ, FakeHost
 
 from cherrygrade.interface import Earnings, Node, Outcome, Permits, Plan, Rpc
-from cherrygrade.policy import ANSWERED, SENT, Keeper
+from cherrygrade.policy import ANSWERED, SENT, WAITING, WORD, Keeper
 
 PEERS = Permits(most_sends=4, cancel=True, come_back_ms=500.0, peers=True)
 MARKS = Permits(most_sends=4, come_back_ms=500.0, marks_repeats=True)
@@ -30,7 +32,7 @@
         self.words += 1
         for other, host in enumerate(self.hosts):
             if other not in (number, *self.dead) and peer in (None, other):
-                host.dispatcher.decide(host.now, host, words=[word])
+                host.dispatcher.decide(host.now, host, words=[(number, word)])
 
     def pass_time(self, ms: float) -> None:
         for _ in range(int(ms / 10.0)):
@@ -118,11 +120,34 @@
 def test_a_word_of_nonsense_changes_nothing_that_matters(word):
     host = FakeHost(permits=PEERS, dispatchers=2)
     host.tell = lambda peer, told: None
-    host.round(words=[word])
+    host.round(words=[(1, word)])
     host.take(host.rpc())
     assert len(host.sent) == 1 and len(host.dispatcher.kept) <= 1
 
 
+def test_only_a_nodes_keeper_tells_its_waiting_and_only_it_takes_reports():
+    # Else any peer's slip could make a node look full, and its reads rejected.
+    for peer in (0, 1, 2):
+        host = FakeHost(permits=PEERS, dispatchers=3, number=1)
+        host.tell = lambda peer, told: None
+        lane = host.dispatcher.lanes[host.nodes[0]]
+        keeper = lane.place % 3
+        host.round(words=[(peer, pack(WORD, WAITING, lane.place, 10, 900))])
+        assert (lane.queue_ms == 900.0) == (peer == keeper)
+        host.round(words=[(peer, pack(WORD, SENT, lane.place, 10, 0)), (peer, b"cut")])
+        assert bool(host.dispatcher.kept) == (keeper == 1)
+        assert host.dispatcher.nonsense == 1 + (peer != keeper) + (keeper != 1)
+
+
+def test_of_words_that_lay_while_the_dispatcher_stood_still_the_last_stands():
+    place = next(iter(FakeHost().dispatcher.lanes.values())).place
+    host = FakeHost(permits=PEERS, dispatchers=2, number=1 - place % 2)
+    host.tell = lambda peer, told: None
+    host.now += 1300.0
+    host.round(words=[(place % 2, pack(WORD, WAITING, place, 10, wait)) for wait in (900, 400, 0)])
+    assert host.dispatcher.lanes[host.nodes[0]].queue_ms == 0.0
+
+
 def test_silence_strikes_nobody_while_the_keeper_sees_answers():
     # Answers get lost on their way: the node lives, and others are answered by it.
     strikes = []
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -12,6 +12,8 @@
 
 from cherrygrade.client import Ok
 from cherrygrade.records.load import RecordError, read_site
+from cherrygrade.wire.frames import encode
+from cherrygrade.wire.messages import Hello, Word
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.rec"
 
@@ -50,7 +52,7 @@
     async def story(house: House) -> None:
         node = await house.node()
         gateways = await pair(house, ports(2))
-        modules = [gateway.rounds._dispatcher for gateway in gateways]
+        modules = [gateway.rounds.module for gateway in gateways]
         lane = next(iter(modules[0].lanes.values()))
         keeper = lane.place % 2
         client = house.client(gateways[1 - keeper])
@@ -84,7 +86,52 @@
         await use(house.client(gateways[0]), 3)
         assert not gateways[0].done.done()
         writer.close()
-        await until(lambda: not [ear for ear in gateways[0].words.ears if not ear.greeted])
+        await until(lambda: not [ear for ear in gateways[0].words.ears if ear.number < 0])
+
+    run(story)
+
+
+async def knock(place: str, *messages) -> bytes:
+    """Say these at a words place; gives what came back until it closed."""
+    host, _, port = place.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for message in messages:
+        writer.write(encode(message, 0))
+    said = await asyncio.wait_for(reader.read(), 4.0)
+    writer.close()
+    return said
+
+
+def test_a_dispatcher_of_another_fleet_and_one_that_does_not_say_hello_are_told_why():
+    async def story(house: House) -> None:
+        await house.node()
+        places = ports(2)
+        gateways = await pair(house, places)
+        assert b"another fleet" in await knock(places[0], Hello(1, "peer", "x", ["1/3"]))
+        assert b"another fleet" in await knock(places[0], Hello(1, "peer", "x", ["0/2"]))  # it is itself 0
+        assert b"only dispatchers' words" in await knock(places[0], Word(b"\x03" * 6))
+        assert b"only dispatchers' words" in await knock(places[0], Hello(1, "client", "x"))
+        assert gateways[0].rounds.module.nonsense == 0  # none of it came that far
+        await use(house.client(gateways[0]), 3)
+
+    run(story)
+
+
+def test_a_flood_of_words_is_dropped_and_nonsense_counted_and_nobody_is_hurt():
+    async def story(house: House) -> None:
+        await house.node()
+        places = ports(2)
+        gateways = await pair(house, places)
+        client = house.client(gateways[0])
+        host, _, port = places[0].rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(encode(Hello(1, "peer", "x", ["1/2"]), 0) + encode(Word(b"\xff" * 7), 0) * 5000)
+        await use(client, 5)
+        words, module = gateways[0].words, gateways[0].rounds.module
+        await until(lambda: words.dropped > 3000 and module.nonsense > 100)
+        assert not any(lane.told_at > 0.0 for lane in module.lanes.values())
+        await use(client, 5)
+        writer.close()
 
     run(story)
 
@@ -96,7 +143,7 @@
         gateways[1]._end(0)
         await use(house.client(gateways[0]), 10)
         words = gateways[0].words
-        assert words.said + words.lost > 0 or gateways[0].rounds._dispatcher.kept
+        assert words.said + words.lost > 0 or gateways[0].rounds.module.kept
 
     run(story)
 
@@ -106,7 +153,7 @@
         await house.node()
         gateway = await house.gateway()
         await use(house.client(gateway), 3)
-        assert gateway.words is None and not gateway.rounds._dispatcher.kept
+        assert gateway.words is None and not gateway.rounds.module.kept
 
     run(story)
     site = read_site(EXAMPLE)
@@ -136,9 +183,10 @@
         ("permits: peers: true\nearnings: tells_elsewhere: false", "words.places"),
         ('words: places: ["here"]', "words.places"),
         ("permits: marks_repeats: 3", "permits.marks_repeats"),
+        ("plans: standard: limit_rate: 30", "plans.standard.limit_depth"),
     ],
 )
 def test_settings_of_two_shapes_at_once_are_refused_with_the_key(text, key):
     with pytest.raises(RecordError) as told:
         read_site(EXAMPLE, text)
-    assert any(key in fault for fault in told.value.faults)
+    assert any(key in fault and ":" in fault.split(key)[0] for fault in told.value.faults)  # and its place
