--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -51,8 +51,8 @@
     """
     site = _site(file, given)
     from cherrygrade.compiled import dispatcher
+    from cherrygrade.gateway.life import serve as run
     from cherrygrade.gateway.process import Gateway
-    from cherrygrade.gateway.process import serve as run
     from cherrygrade.logs import make_log
 
     async def main() -> int:
--- a/cherrygrade/door.py
+++ b/cherrygrade/door.py
@@ -41,7 +41,7 @@
 
 
 class Nodes:
-    """Node objects by address; one a machine, as long as the host lives."""
+    """Node objects by address; one a machine, as long as the host lives or until it forgets a gone one."""
 
     def __init__(self) -> None:
         self.by_address: dict[str, Node] = {}
@@ -50,6 +50,11 @@
     def node(self, address: str) -> Node:
         return self.by_address.setdefault(address, Node(address))
 
+    def forget(self, node: Node) -> None:
+        if self.by_address.get(node.address) is node:
+            del self.by_address[node.address]
+        self._listed.discard(node.address)
+
     def told(self, named: Iterable[Node], whole: bool) -> list[Node]:
         """A list came that names these: gives all nodes of which something was learned by it.
 
--- a/cherrygrade/gateway/held.py
+++ b/cherrygrade/gateway/held.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cherrygrade.interface import Rpc, Send
-from cherrygrade.wire.messages import ReadRpc, WriteRpc
 
 if TYPE_CHECKING:
     from cherrygrade.extents.carrier import Range
@@ -14,6 +13,7 @@
     from cherrygrade.gateway.links import Flight
     from cherrygrade.gateway.sessions import Session
     from cherrygrade.peers.store import Claim, Purse
+    from cherrygrade.wire.messages import ReadRpc, WriteRpc
 
 Body = bytearray | memoryview | None
 
@@ -57,10 +57,14 @@
 
 @dataclass(slots=True, eq=False)
 class Out(Send):
-    """One send, with the frame that carries it, alone or with others."""
+    """One send, with the frame that carries it, alone or with others, or the HTTP exchange that does."""
 
     flight: Flight | None = None
     slot: int = 0
     """Of the wheel of time-outs."""
     claim: Claim | None = None
     """Pinned where the RPC is over before it."""
+    until_ms: float = 0.0
+    """When its answer is waited for no longer."""
+    exchange: Any = None
+    """The connection that carries it alone."""
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import signal
-import socket
-import traceback
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -14,6 +10,7 @@
 from cherrygrade.extents.carrier import Carrier, Range
 from cherrygrade.gateway.follower import Follower
 from cherrygrade.gateway.held import Held, Out
+from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke
 from cherrygrade.gateway.links import Link, NodeLine
 from cherrygrade.gateway.rooms import Rooms
 from cherrygrade.gateway.roster import Book
@@ -27,12 +24,12 @@
 from cherrygrade.peers.watch import Watch
 from cherrygrade.policy import Dispatcher
 from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Pace, Place, Trade
+from cherrygrade.transport.listening import listen
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 TELL_S = 60.0
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
 BACKLOG, ABREAST = 1024, 1  # a crowd that arrives waits at the door: who is in goes on meanwhile
-LEFT_CLEAN, LEFT_BROKEN, LEFT_BY_FORCE = 0, 70, 75
 
 
 class Gateway:
@@ -93,20 +90,15 @@
         if places:
             self.words = Words(places, place.number, place.name, self.rounds.clock, self.rounds.hear, log)
         self._server: asyncio.Server | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0
+        self._alarm = Alarm(self.wheel, self.rounds.clock, self.before_round)
         self._telling: asyncio.TimerHandle | None = None
 
     # Life.
 
     async def start(self) -> int:
         """Listen, follow the register; gives the port."""
-        host, _, port = self.place.listen.rpartition(":")
-        loop = asyncio.get_running_loop()
-        door = socket.create_server((host, int(port)), backlog=BACKLOG)
-        door.setblocking(False)
-        self._server = await loop.create_server(lambda: Session(self).conn, sock=door, backlog=ABREAST)
-        door.listen(BACKLOG)  # asyncio takes one figure for the queue and for what it accepts in one turn
+        host = self.place.listen.rpartition(":")[0]
+        self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
         if self.words is not None:
             await self.words.start()
         self.follower.start()
@@ -177,14 +169,14 @@
             link.close()
         for session in [*self.sessions]:
             session.conn.close("dispatcher leaves", self.come_back_ms)
-        for timer in (self._timer, self._telling):
-            if timer is not None:
-                timer.cancel()
+        self._alarm.close()
+        if self._telling is not None:
+            self._telling.cancel()
         self.log("ended", code=code)
         self.done.set_result(code)
 
     def _crashed(self, trouble: Exception, round_: str) -> None:
-        self.log("module broke", round=round_, traceback="".join(traceback.format_exception(trouble)))
+        module_broke(self.log, trouble, round_)
         self._end(LEFT_BROKEN)
 
     def _node_lines(self) -> list[NodeLine]:
@@ -356,22 +348,7 @@
         for one in outs:
             one.slot = self.wheel.put(one, one.rpc.give_up_ms)
         link.carry(outs)
-        self._set_timer()
-
-    def _set_timer(self) -> None:
-        at = self.wheel.next_at()
-        if at is None or (self._timer is not None and self._timer_at <= at):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = at
-        self._timer = asyncio.get_running_loop().call_at(at / 1000.0, self._time_out)
-
-    def _time_out(self) -> None:
-        self._timer = None
-        if self.wheel.next_at() is not None:
-            self.before_round(self.rounds.clock())
-            self._set_timer()
+        self._alarm.set()
 
     def withdraw(self, out: Out) -> None:
         self.wheel.drop(out, out.slot)
@@ -422,17 +399,3 @@
 
     def ask_list(self, push: bool) -> None:
         self.follower.ask(push)
-
-
-async def serve(gateway: Gateway, started: Callable[[int], None] | None = None) -> int:
-    """Run until told to leave; gives the exit code: 0 all answered, 70 the module broke, 75 cut short."""
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, gateway.leave)
-    port = await gateway.start()
-    gc.freeze()  # what the program is made of is not looked through again: that was 10 ms for everybody
-    if started is not None:
-        started(port)
-    code = await gateway.done
-    await asyncio.sleep(0)  # connections that close tell so once
-    return code
--- a/cherrygrade/gateway/words.py
+++ b/cherrygrade/gateway/words.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from cherrygrade.gateway.backoff import Backoff
 from cherrygrade.transport.connection import Connection
+from cherrygrade.transport.listening import listen
 from cherrygrade.wire.messages import MOST_WORD, VERSION, Bye, Hello, Welcome, Word
 
 RATE = 400  # words of one dispatcher that are heard in a second; the rest is dropped
@@ -158,10 +158,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        host, _, port = self._own.rpartition(":")
-        door = socket.create_server((host, int(port)), backlog=len(self.mouths) + 2)
-        door.setblocking(False)
-        self._server = await asyncio.get_running_loop().create_server(lambda: Ear(self).conn, sock=door)
+        self._server = await listen(lambda: Ear(self).conn, self._own, len(self.mouths) + 2)
 
     def number_of(self, features: Sequence[str]) -> int | None:
         """Who speaks, if it is one of the others of this fleet."""
--- /dev/null
+++ b/cherrygrade/http/reader.py
@@ -0,0 +1,137 @@
+"""Reads HTTP/1.1 messages out of bytes as they come.
+
+`httptools` (llhttp without leniencies) knows the grammar and turns away framing that contradicts itself: two
+lengths, a length beside an encoding, bare line ends, white space before a colon. What it does not bound is
+bounded here: a head, its fields, a body, and all that a message may bring on the way.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httptools
+
+MOST_HEAD, MOST_FIELDS = 8 * 1024, 64
+MOST_BODY = 64 * 1024
+MOST_WIRE = MOST_HEAD + 4 * MOST_BODY  # of one message with all its chunk heads and trailers
+
+
+class Fault(Exception):
+    """What the peer sent is not to be used; `code` is what a client is told."""
+
+    def __init__(self, code: int, why: str) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+class Message:
+    """One whole message. A field that came twice holds both values, parted by a comma."""
+
+    __slots__ = ("begun", "body", "fields", "framed", "method", "status", "target")
+
+    def __init__(self) -> None:
+        self.method = self.target = b""
+        self.status = 0
+        self.fields: dict[bytes, bytes] = {}
+        self.body = b""
+        self.framed = False
+        """Its length was told: by a field, or by chunks with their end."""
+        self.begun = 0.0
+        """When its last byte came, for whoever keeps it waiting."""
+
+
+class Reader:
+    """One direction of a connection. `found` holds whole messages, emptied by the owner; after `fault`
+    nothing more is read, what was found before it stands."""
+
+    def __init__(self, answers: bool) -> None:
+        self._answers = answers
+        self.found: list[Message] = []
+        self.fault: Fault | None = None
+        parser: Any = httptools.HttpResponseParser if answers else httptools.HttpRequestParser
+        self._parser = parser(self)
+        self._message: Message | None = None
+        self._body = bytearray()
+        self._in_head = True
+        self._head = self._wire = 0
+
+    @property
+    def within(self) -> bool:
+        """A message has begun and not ended."""
+        return self._message is not None
+
+    def feed(self, data: bytes) -> None:
+        if self.fault is not None:
+            return
+        whole = len(self.found)
+        self._wire += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fault = Fault(400, "no other protocol is spoken here")
+        except httptools.HttpParserError as trouble:
+            cause = trouble.__context__
+            self.fault = cause if isinstance(cause, Fault) else Fault(400, str(trouble)[:200])
+        if len(self.found) > whole:
+            self._wire = 0
+        if self.fault is None and self._message is not None:
+            if self._in_head and self._wire > MOST_HEAD:
+                self.fault = Fault(431, "the head is too long")
+            elif self._wire > MOST_WIRE:
+                self.fault = Fault(413, "the message does not end")
+
+    # What the parser calls. An exception here comes out of feed_data as the context of its own.
+
+    def on_message_begin(self) -> None:
+        self._message, self._in_head, self._head = Message(), True, 0
+        self._body = bytearray()
+
+    def on_url(self, some: bytes) -> None:
+        assert self._message is not None
+        self._message.target += some
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        message = self._message
+        assert message is not None
+        self._head += len(name) + len(value)
+        if self._head > MOST_HEAD or len(message.fields) >= MOST_FIELDS:
+            raise Fault(431, "the head is too long")
+        if not self._in_head:
+            return  # trailers tell nothing here
+        name = name.lower()
+        fields = message.fields
+        fields[name] = fields[name] + b"," + value if name in fields else value
+
+    def on_headers_complete(self) -> None:
+        message = self._message
+        assert message is not None
+        self._in_head = False
+        length = message.fields.get(b"content-length", b"")
+        encoding = message.fields.get(b"transfer-encoding")
+        if encoding is not None and encoding.lower() != b"chunked":
+            raise Fault(501, "no such transfer encoding is read here")
+        message.framed = bool(length) or encoding is not None
+        if length and int(length) > MOST_BODY:
+            raise Fault(413, "the body is too long")
+        if self._answers:
+            message.status = self._parser.get_status_code()
+        else:
+            message.method = self._parser.get_method()
+
+    def on_body(self, some: bytes) -> None:
+        if len(self._body) + len(some) > MOST_BODY:
+            raise Fault(413, "the body is too long")
+        self._body += some
+
+    def on_message_complete(self) -> None:
+        message, self._message = self._message, None
+        assert message is not None
+        message.body, self._body = bytes(self._body), bytearray()
+        self._in_head = True
+        if not (self._answers and 100 <= message.status < 200 and message.status != 101):
+            self.found.append(message)
+
+
+def closes(message: Message) -> bool:
+    """The peer ends the connection behind this message."""
+    return b"close" in message.fields.get(b"connection", b"").lower()
--- /dev/null
+++ b/cherrygrade/http/writer.py
@@ -0,0 +1,39 @@
+"""Makes HTTP/1.1 heads anew from checked parts: nothing of a peer's head is copied through."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}
+
+
+def answer(status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> bytes:
+    """`fields` are whole lines."""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        status,
+        REASONS.get(status, b"-"),
+        fields,
+        len(body),
+        b"Connection: close\r\n" if close else b"",
+        body,
+    )
+
+
+def ask(
+    method: bytes, target: bytes, host: bytes, fields: Iterable[tuple[bytes, bytes]] = (), body: bytes = b""
+) -> bytes:
+    lines = b"".join(b"%b: %b\r\n" % field for field in fields)
+    length = b"" if method == b"GET" else b"Content-Length: %d\r\n" % len(body)
+    return b"%b %b HTTP/1.1\r\nHost: %b\r\n%b%b\r\n%b" % (method, target, host, lines, length, body)
--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/broken.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from cherrygrade.gateway import roster
-from cherrygrade.gateway.process import Gateway, serve
+from cherrygrade.gateway.life import serve
+from cherrygrade.gateway.process import Gateway
 from cherrygrade.interface import Effect, Standing
 from cherrygrade.logs import make_log
 from cherrygrade.policy import NEVER, Gate
--- /dev/null
+++ b/cherrygrade/platform/clients.py
@@ -0,0 +1,234 @@
+"""The clients' door: one connection a visit, one RPC at a time on it, answers in order."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cherrygrade.gateway.held import Held
+from cherrygrade.http.reader import Fault, Message, Reader, closes
+from cherrygrade.http.writer import answer
+from cherrygrade.interface import Plan, Workload
+
+if TYPE_CHECKING:
+    from cherrygrade.platform.process import Platform
+
+MOST_KEPT = 16 * 1024  # read ahead of an open RPC, so that a close behind it is noticed
+HIGH = 128 * 1024  # of answers that the client does not take: nothing more is begun for it
+TARGET = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[!-~]{0,1000})?")
+ID = re.compile(rb"[0-9a-f]{16}")
+MS = re.compile(rb"[0-9]{1,9}")
+UNITS = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,6})?")
+SHARD = re.compile(rb"-1|[0-9]{1,6}")
+HOSTS = re.compile(rb"[0-9]{1,6}")
+
+
+@dataclass(slots=True, eq=False)
+class Asked(Held):
+    """A client's RPC, with what of its message passes on."""
+
+    visit: Visit | None = None
+    call: bytes = b""
+    method: bytes = b""
+    target: bytes = b""
+
+
+def read_rpc(
+    message: Message, workloads: dict[str, Workload], plans: dict[str, Plan], now: float, margin_ms: float
+) -> Asked:
+    """The RPC that a client's message holds; Fault where it holds none. `now`: when its last byte came."""
+    fields = message.fields
+    target = TARGET.fullmatch(message.target)
+    if target is None:
+        raise Fault(404, "no such path")
+    if message.method not in (b"GET", b"PUT"):
+        raise Fault(405, "only GET and PUT")
+    call = fields.get(b"x-call-id", b"")
+    if not ID.fullmatch(call):
+        raise Fault(400, "X-Call-Id: 16 hex digits wanted")
+    workload = workloads.get(fields.get(b"x-call-class", b"").decode("latin-1"))
+    if workload is None:
+        raise Fault(400, "X-Call-Class: unknown")
+    plan = plans.get(fields.get(b"x-storage-class", b"").decode("latin-1"))
+    if plan is None:
+        raise Fault(400, "X-Storage-Class: unknown")
+    writes = message.method == b"PUT"
+    if writes is not workload.writes:
+        raise Fault(405, f"{workload.name} is not asked for by this method")
+    if message.body and not writes:
+        raise Fault(400, "a read has no body")
+    budget = fields.get(b"x-budget-ms", b"")
+    if not MS.fullmatch(budget):
+        raise Fault(400, "X-Budget-Ms: whole milliseconds wanted")
+    extent = dict(part.strip().partition(b"=")[::2] for part in fields.get(b"x-extent", b"").split(b","))
+    units, shard, hosts = (extent.get(name, b"") for name in (b"units", b"shard", b"hosts"))
+    if not (UNITS.fullmatch(units) and SHARD.fullmatch(shard) and HOSTS.fullmatch(hosts)) or not float(units):
+        raise Fault(400, "X-Extent: units, shard and hosts wanted")
+    left = min(float(budget), workload.deadline_ms)
+    return Asked(
+        workload=workload,
+        plan=plan,
+        volume=target[1].decode(),
+        hosts=max(1, int(hosts)),
+        key=target[2].decode(),
+        shard=int(shard),
+        units=float(units),
+        give_up_ms=now + left - margin_ms,
+        writes=writes,
+        repeat=fields.get(b"x-again") == b"1",
+        id=call.decode(),
+        body=memoryview(message.body) if writes else None,
+        call=call,
+        method=message.method,
+        target=message.target,
+    )
+
+
+class Visit(asyncio.BufferedProtocol):
+    """One client's connection. What is read ahead is bounded: messages of one piece read and `_kept`."""
+
+    def __init__(self, house: Platform) -> None:
+        self.house = house
+        self.open: Asked | None = None
+        self.spoken = False
+        """It has asked something whole."""
+        self.quiet_from = house.rounds.clock()
+        """When it came, or when the last answer went, or when the message within began."""
+        self._reader = Reader(answers=False)
+        self._queue: deque[Message] = deque()
+        self._kept = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._ended = self._paused = self._looking = False
+
+    # What the event loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=HIGH)
+        if not self.house.enter(self):
+            self.end()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.house.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self._ended:
+            return
+        data = bytes(self.house.buffer[:nbytes])
+        if self.open is not None or self._queue:
+            self._kept += data
+            if len(self._kept) >= MOST_KEPT and self._transport is not None:
+                self._transport.pause_reading()
+            return
+        self._feed(data)
+        self._look()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._ended = True
+        self._transport = None
+        self._queue.clear()
+        self._kept.clear()
+        asked, self.open = self.open, None
+        self.house.exit(self, asked)
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._look()
+
+    # What the house calls.
+
+    @property
+    def idle(self) -> bool:
+        return self.open is None and not self._queue
+
+    @property
+    def within(self) -> bool:
+        return self._reader.within
+
+    def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
+        """The final answer of the RPC that is open."""
+        close = close or self.house.leaving
+        self.open = None
+        self.quiet_from = self.house.rounds.clock()
+        if self._transport is None or self._ended:
+            return
+        self._transport.write(answer(status, body, fields, close))
+        if close:
+            self.end()
+        else:
+            self._look()
+
+    def end(self) -> None:
+        """Close behind what was written."""
+        self._ended = True
+        self._queue.clear()
+        if self._transport is not None:
+            if self._paused:  # the client does not read
+                self._transport.abort()
+            else:
+                self._transport.close()
+
+    def turn_out(self) -> None:
+        """It has been silent for too long: with half a message it is told why."""
+        if self._reader.within and self._transport is not None and not self._ended:
+            self._transport.write(answer(408, close=True))
+        self.end()
+
+    # Its own.
+
+    def _feed(self, data: bytes) -> None:
+        reader, now = self._reader, self.house.rounds.clock()
+        began = reader.within
+        reader.feed(data)
+        if not began and reader.within:
+            self.quiet_from = now
+        for message in reader.found:
+            message.begun = now
+            self._queue.append(message)
+        reader.found.clear()
+
+    def _look(self) -> None:
+        """Begin what waits, as far as nothing is open."""
+        if self._looking:
+            return
+        self._looking = True
+        try:
+            while self.open is None and not (self._ended or self._paused):
+                if self._queue:
+                    self._begin(self._queue.popleft())
+                elif self._kept:
+                    data, self._kept = bytes(self._kept), bytearray()
+                    if self._transport is not None and not self._transport.is_reading():
+                        self._transport.resume_reading()
+                    self._feed(data)
+                elif self._reader.fault is not None:
+                    self._refuse(self._reader.fault)
+                else:
+                    break
+        finally:
+            self._looking = False
+
+    def _refuse(self, fault: Fault) -> None:
+        self.house.refused += 1
+        self.answer(fault.code, str(fault).encode("latin-1", "replace"), close=True)
+
+    def _begin(self, message: Message) -> None:
+        self.spoken = True
+        self.house.spoke(self)
+        if message.target == b"/ready" and message.method == b"GET":
+            self.answer(200, close=closes(message))
+            return
+        try:
+            self.open = self.house.ask(self, message)
+        except Fault as fault:
+            self._refuse(fault)
--- /dev/null
+++ b/cherrygrade/platform/orders.py
@@ -0,0 +1,93 @@
+"""What the platform tells a dispatcher: environment and configuration file, read and checked whole."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cherrygrade.start import StartPairs
+
+
+class OrdersError(Exception):
+    """Names the key that is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    name: str
+    listen: str
+    discovery: str
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    pairs: StartPairs
+
+
+def place(text: str) -> tuple[str, int]:
+    """Host and port of an address; ValueError where it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"'{text[:80]}' is no host:port")
+    return host, int(port)
+
+
+def read_orders(env: Mapping[str, str]) -> Orders:
+    file = env.get("BALANCER_CONFIG", "")
+    if not file:
+        raise OrdersError("BALANCER_CONFIG: not set; it names the configuration file")
+    try:
+        told = json.loads(Path(file).read_bytes())
+    except OSError as trouble:
+        raise OrdersError(f"BALANCER_CONFIG: {file}: {trouble.strerror}") from None
+    except ValueError as trouble:
+        raise OrdersError(f"BALANCER_CONFIG: {file} is no JSON: {trouble}") from None
+    if not isinstance(told, dict):
+        raise OrdersError(f"BALANCER_CONFIG: {file} holds no object")
+
+    def text(key: str, variable: str) -> str:
+        value = told.get(key, env.get(variable, ""))
+        if not isinstance(value, str) or not value:
+            raise OrdersError(f"{key}: missing, and {variable} is not set")
+        return value
+
+    def table(key: str, within: dict[str, Any], default: Any = None) -> dict[str, Any]:
+        value = within.get(key, default)
+        if not isinstance(value, dict):
+            raise OrdersError(f"{key}: no object")
+        return value
+
+    listen, discovery = text("listen", "BALANCER_LISTEN"), text("discovery", "BALANCER_DISCOVERY")
+    for key, value in (("listen", listen), ("discovery", discovery)):
+        try:
+            place(value)
+        except ValueError as trouble:
+            raise OrdersError(f"{key}: {trouble}") from None
+    seed = told.get("seed", "0")
+    try:
+        number = int(seed, 16)
+    except (TypeError, ValueError):
+        raise OrdersError("seed: no hexadecimal number") from None
+    sockets = table("limits", told, {}).get("sockets", 1024)
+    if not isinstance(sockets, int) or sockets < 64:
+        raise OrdersError("limits.sockets: less than the 64 that a dispatcher needs")
+    pairs = StartPairs.nested(table("settings", told))
+    try:
+        if not pairs.workloads():
+            raise OrdersError("settings.classes: empty")
+        if not pairs.plans():
+            raise OrdersError("settings.grades: empty")
+        pairs.cold_start(), pairs.resend_budget(), pairs.earnings(), pairs.permits()
+    except ValueError as trouble:
+        raise OrdersError(f"settings: {trouble}") from None
+    return Orders(
+        name=text("name", "BALANCER_NAME"),
+        listen=listen,
+        discovery=discovery,
+        seed=number,
+        sockets=sockets,
+        known=table("known", told, {"seq": -1, "whole": True, "hosts": []}),
+        pairs=pairs,
+    )
--- /dev/null
+++ b/cherrygrade/platform/process.py
@@ -0,0 +1,318 @@
+"""The platform's dispatcher: visits, links, discovery and rounds, and their life from start to end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+
+from cherrygrade.compiled import dispatcher
+from cherrygrade.door import Nodes
+from cherrygrade.gateway.held import Held, Out
+from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke, serve
+from cherrygrade.gateway.rounds import Rounds
+from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.http.reader import Fault, Message
+from cherrygrade.interface import Node, Outcome, Standing
+from cherrygrade.logs import plain_log
+from cherrygrade.peers.arrivals import Arrivals
+from cherrygrade.platform.clients import Asked, Visit, read_rpc
+from cherrygrade.platform.discovery import Follower
+from cherrygrade.platform.listing import Listing
+from cherrygrade.platform.nodes import Link, Sockets
+from cherrygrade.platform.orders import Orders, OrdersError, read_orders
+from cherrygrade.policy import Dispatcher
+from cherrygrade.transport.listening import listen
+
+ANSWER_MS = 10.0  # kept back from each client's time for the answer's way
+SILENT_MS, SHORT_MS, LONG_MS = 2000.0, 2000.0, 60000.0  # silence from the start; idle in a crowd, and else
+SWEEP_S, TELL_S = 0.25, 10.0
+KNOCK_MS = 500.0  # that clients still come after the order to leave
+LEAVE_MS = 3500.0  # the longest that what is held may take then
+OWN_SOCKETS = 24  # listener, discovery twice, event loop, standard streams and what Python opens
+BACKLOG, ABREAST = 512, 16
+BUFFER = 16 * 1024
+
+
+class Platform:
+    """One dispatcher. Links are a node each, visits a client's connection each."""
+
+    def __init__(self, orders: Orders, log: Callable[..., None], make: Callable[..., Dispatcher]) -> None:
+        self.orders, self.log = orders, log
+        pairs = orders.pairs
+        self.workloads, self.plans, self.permits = pairs.workloads(), pairs.plans(), pairs.permits()
+        self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
+        self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
+        self.leaving = False
+        self.refused = self.answered = 0
+        self.buffer = memoryview(bytearray(BUFFER))
+        self.visits: dict[Visit, None] = {}
+        self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
+        self.links: dict[Node, Link] = {}
+        self.nodes = Nodes()
+        self.wheel: Wheel[Out] = Wheel()
+        self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        spare = orders.sockets - OWN_SOCKETS
+        self.most_visits = spare // 2
+        self.arrivals: Arrivals[Visit] = Arrivals(self.most_visits, self.most_visits // 2)
+        self.sockets = Sockets(spare - self.most_visits)
+        module = pairs.dispatcher(make, orders.seed)
+        self.rounds = Rounds(module, self, self._crashed, lambda text: log("module", text=text))
+        # One reading of both clocks: a node's birth is told in Unix time.
+        offset = asyncio.get_running_loop().time() * 1000.0 - time.time() * 1000.0
+        self.listing = Listing(self.nodes, lambda unix: unix + offset)
+        name = f"{orders.seed}:{orders.name}"
+        clock = self.rounds.clock
+        self.follower = Follower(orders.discovery, name, self.listing, clock, self._heard, log)
+        self._alarm = Alarm(self.wheel, clock, self.before_round)
+        self._server: asyncio.Server | None = None
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+
+    # Life.
+
+    async def start(self) -> int:
+        loop = asyncio.get_running_loop()
+        self._heard(self.listing.hear(self.orders.known) or [])
+        self.follower.start()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self._sweep()
+        self._tell()
+        self._server = await listen(lambda: Visit(self), self.orders.listen, BACKLOG, ABREAST)
+        port: int = self._server.sockets[0].getsockname()[1]
+        self.log("listening", address=self.orders.listen, nodes=len(self.listing.dials))
+        return port
+
+    def reload(self) -> None:
+        """The file is read anew: a bad one changes nothing. Only discovery's address is taken."""
+        try:
+            orders = read_orders(os.environ)
+        except OrdersError as trouble:
+            self.log("reload refused", why=str(trouble))
+            return
+        old, self.orders = self.orders, orders
+        kept = [
+            key
+            for key, now, before in (
+                ("listen", orders.listen, old.listen),
+                ("limits.sockets", orders.sockets, old.sockets),
+                ("settings", orders.pairs.same(), old.pairs.same()),
+            )
+            if now != before
+        ]
+        self.log("reloaded", discovery=orders.discovery, not_taken=kept)
+        if orders.discovery != self.follower.address:
+            self.follower.move(orders.discovery)
+
+    def leave(self) -> None:
+        """Take what still comes for a moment, finish what is held, end; a second call ends at once."""
+        if self.leaving:
+            self._end(LEFT_BY_FORCE)
+            return
+        self.leaving = True
+        self.log("leaving", held=len(self.open), clients=len(self.visits))
+        loop = asyncio.get_running_loop()
+        self._timers["knock"] = loop.call_later(KNOCK_MS / 1000.0, self._shut)
+        self._timers["leave"] = loop.call_later(LEAVE_MS / 1000.0, self._end, LEFT_BY_FORCE)
+
+    def _shut(self) -> None:
+        """Nobody new comes any more."""
+        if self._server is not None:
+            self._server.close()
+        del self._timers["knock"]
+        for visit in [*self.visits]:
+            if visit.idle and not visit.within:
+                visit.end()
+        self._look_done()
+
+    def _look_done(self) -> None:
+        if self.leaving and not self.open and "knock" not in self._timers:
+            asyncio.get_running_loop().call_soon(self._end, LEFT_CLEAN)
+
+    def _end(self, code: int) -> None:
+        if self.done.done():
+            return
+        self.rounds.end()
+        for asked in [*self.open.values()]:
+            self._final(asked, 502)
+        if self._server is not None:
+            self._server.close()
+        self.follower.close()
+        for link in self.links.values():
+            link.close()
+        for visit in [*self.visits]:
+            visit.end()
+        self._alarm.close()
+        self._tell()
+        for timer in self._timers.values():
+            timer.cancel()
+        self.log("ended", code=code)
+        self.done.set_result(code)
+
+    def _crashed(self, trouble: Exception, round_: str) -> None:
+        module_broke(self.log, trouble, round_)
+        self._end(LEFT_BROKEN)
+
+    def _sweep(self) -> None:
+        """What has been silent for too long goes; nodes that are gone are forgotten."""
+        now = self.rounds.clock()
+        crowd = len(self.visits) > self.most_visits * 3 // 4
+        for visit in [*self.visits]:
+            if not visit.idle:
+                continue
+            quiet = now - visit.quiet_from
+            silent = not visit.spoken or visit.within
+            if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS):
+                visit.turn_out()
+        for link in [*self.links.values()]:
+            link.close_idle(now)
+        for node in [*self.listing.dials]:
+            if node.standing is Standing.GONE:
+                self._forget(node)
+        self._timers["sweep"] = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def _forget(self, node: Node) -> None:
+        link = self.links.get(node)
+        if link is not None and not link.quiet:
+            return
+        if link is not None:
+            del self.links[node]
+            link.close()
+        self.listing.forget(node)
+
+    def _tell(self) -> None:
+        """A line now and then of what there is."""
+        self.log(
+            "counts",
+            answered=self.answered,
+            refused=self.refused,
+            clients=len(self.visits),
+            held=len(self.open),
+            node_sockets=self.sockets.used,
+            nodes=len(self.listing.dials),
+            version=self.listing.version,
+            connects=sum(link.made for link in self.links.values()),
+        )
+        self._timers["tell"] = asyncio.get_running_loop().call_later(TELL_S, self._tell)
+
+    # What visits call.
+
+    def enter(self, visit: Visit) -> bool:
+        place, goes = self.arrivals.came(visit, len(self.visits))
+        if goes is not None:
+            goes.turn_out()
+        if place:
+            self.visits[visit] = None
+        return place
+
+    def spoke(self, visit: Visit) -> None:
+        self.arrivals.spoke(visit)
+
+    def exit(self, visit: Visit, asked: Asked | None) -> None:
+        self.arrivals.spoke(visit)
+        self.visits.pop(visit, None)
+        if asked is not None:
+            self.open.pop(asked.call, None)
+            self.rounds.leave(asked)
+            self._look_done()
+
+    def ask(self, visit: Visit, message: Message) -> Asked:
+        """To the module; Fault where the message holds no RPC."""
+        asked = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
+        if asked.call in self.open:
+            raise Fault(409, "X-Call-Id: open already")
+        asked.visit = visit
+        self.open[asked.call] = asked
+        self.rounds.take(asked)
+        return asked
+
+    # What discovery calls.
+
+    def _heard(self, nodes: list[Node]) -> None:
+        for node in nodes:
+            link = self.links.get(node)
+            if link is not None:
+                link.standing_heard()
+        self.rounds.inbox.heard += nodes
+        self.rounds.stir()
+
+    # What rounds carry out.
+
+    def before_round(self, now: float) -> None:
+        for out in self.wheel.due(now):
+            self.links[out.node].give_up(out, Outcome.TIMED_OUT)
+
+    def carry(self, out: Out, limit_ms: float) -> None:
+        node = out.node
+        link = self.links.get(node)
+        if link is None:
+            link = self.links[node] = Link(
+                node,
+                self.listing.dials.__getitem__,
+                self.rounds,
+                self.wheel,
+                self.sockets,
+                self.buffer,
+                self.connect_ms,
+                self.idle_ms,
+                self.log,
+            )
+        out.until_ms = min(out.rpc.give_up_ms, out.sent_ms + limit_ms)
+        out.slot = self.wheel.put(out, out.until_ms)
+        link.carry(out)
+        self._alarm.set()
+
+    def withdraw(self, out: Out) -> None:
+        link = self.links.get(out.node)
+        if link is not None:
+            link.give_up(out, Outcome.CANCELLED)
+
+    def answer_ok(self, held: Held, out: Out) -> None:
+        assert isinstance(held, Asked)
+        self._final(held, 200, bytes(held.body or b""))
+
+    def answer_rejected(self, held: Held, come_back_ms: float) -> None:
+        assert isinstance(held, Asked)
+        fields = b"Retry-After: %.3f\r\n" % (come_back_ms / 1000.0) if come_back_ms > 0.0 else b""
+        self._final(held, 503, fields=fields)
+
+    def answer_errored(self, held: Held) -> None:
+        assert isinstance(held, Asked)
+        self._final(held, 502)
+
+    def _final(self, asked: Asked, status: int, body: bytes = b"", fields: bytes = b"") -> None:
+        """The one final answer."""
+        self.open.pop(asked.call, None)
+        visit, asked.visit, asked.body = asked.visit, None, None
+        self.answered += 1
+        if visit is not None and visit.open is asked:
+            visit.answer(status, body, fields)
+        self._look_done()
+
+    def ask_list(self, push: bool) -> None:
+        """Discovery tells by itself."""
+
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        self.log("word to peers passed over: dispatchers have no way to each other here")
+
+
+def main() -> int:
+    try:
+        orders = read_orders(os.environ)
+    except OrdersError as trouble:
+        print(trouble, file=sys.stderr)
+        return 2
+    log = plain_log(dispatcher=orders.name)
+    make, compiled = dispatcher()
+    log("module", compiled=compiled)
+
+    async def run() -> int:
+        return await serve(Platform(orders, log, make))
+
+    try:
+        return asyncio.run(run())
+    except OSError as trouble:
+        print(f"listen: {orders.listen}: {trouble}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/cherrygrade/start.py
@@ -0,0 +1,157 @@
+"""What an instance is told at its start, as the module's arguments: one reader for every host of the module.
+
+The simulator gives it as flat pairs, the platform as nested JSON of the same names and units. Standard
+library only: the bench's adapter uses it too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from cherrygrade.interface import ColdStart, Earnings, Effect, Permits, Plan, ResendBudget, Workload
+from cherrygrade.policy import Dispatcher
+
+EFFECTS = {"retryable": Effect.IDEMPOTENT, "dedup": Effect.TOKENED, "fragile": Effect.NON_IDEMPOTENT}
+
+
+def flag(text: str) -> bool:
+    return text in ("1", "true")
+
+
+def _flat(value: Any, at: str = "") -> Iterator[str]:
+    """Nested JSON as the pairs that the simulator would have sent."""
+    if isinstance(value, dict):
+        for name, one in value.items():
+            yield from _flat(one, f"{at}.{name}" if at else str(name))
+    elif isinstance(value, list) and value and all(isinstance(one, dict) for one in value):
+        yield f"{at}.count={len(value)}"
+        for i, one in enumerate(value):
+            yield from _flat(one, f"{at}.{i}")
+    else:
+        yield f"{at}={','.join(map(_text, value)) if isinstance(value, list) else _text(value)}"
+
+
+def _text(value: Any) -> str:
+    if value is None:
+        return "-"
+    return str(int(value)) if isinstance(value, bool) else str(value)
+
+
+class StartPairs:
+    """The pairs of a start-up message; what is absent takes its default, the unknown is passed over."""
+
+    def __init__(self, parts: list[str]) -> None:
+        self._pairs = dict(part.split("=", 1) for part in parts if "=" in part)
+
+    @classmethod
+    def nested(cls, settings: dict[str, Any]) -> StartPairs:
+        return cls([*_flat(settings)])
+
+    def same(self) -> dict[str, str]:
+        """All of it, to be held against another."""
+        return {name: value for name, value in self._pairs.items() if name != "seed"}
+
+    def text(self, path: str, default: str = "") -> str:
+        value = self._pairs.get(path, default)
+        return default if value == "-" else value
+
+    def number(self, path: str, default: float = 0.0) -> float:
+        value = self.text(path)
+        return float(value) if value else default
+
+    def ms(self, path: str, default_s: float = 0.0) -> float:
+        return self.number(path, default_s) * 1000.0
+
+    def flag(self, path: str, default: bool = False) -> bool:
+        value = self.text(path)
+        return flag(value) if value else default
+
+    def workloads(self) -> dict[str, Workload]:
+        writes = self.text("extra.writes").split(",")
+        found = {}
+        for i in range(int(self.number("classes.count"))):
+            at = f"classes.{i}."
+            found[self.text(at + "name")] = Workload(
+                name=self.text(at + "name"),
+                soft_ms=self.ms(at + "objectiveS"),
+                deadline_ms=self.ms(at + "hardLimitS"),
+                value=self.number(at + "importance", 1.0),
+                late_part=self.number(at + "lateWorth"),
+                effect=EFFECTS.get(self.text(at + "effect"), Effect.NON_IDEMPOTENT),
+                group=self.text(at + "group", "all"),
+                token_ms=self.ms(at + "windowS"),
+                in_order=self.flag(at + "oneAtATime"),
+                streamed=self.flag(at + "stream"),
+                writes=i < len(writes) and flag(writes[i]),
+            )
+        return found
+
+    def plans(self) -> dict[str, Plan]:
+        found = {}
+        for i in range(int(self.number("grades.count"))):
+            at = f"grades.{i}."
+            found[self.text(at + "name")] = Plan(
+                name=self.text(at + "name"),
+                weight=self.number(at + "proportion", 1.0),
+                price=self.number(at + "price", 1.0),
+                usual_rate=self.number(at + "usualRate"),
+                reserve_rate=self.number(at + "floorRate"),
+                limit_rate=self.number(at + "cap"),
+                limit_depth=self.number(at + "capDepth"),
+                limit_slack=self.number(at + "tolerance"),
+            )
+        return found
+
+    def cold_start(self) -> ColdStart:
+        return ColdStart(
+            units=self.number("extra.youngLimit"),
+            share=self.number("guarantees.coldShare", 1.0),
+            multiple=self.number("guarantees.fallMultiple", 1.0),
+            span_ms=self.ms("guarantees.tipAfterS"),
+            warm_ms=self.ms("guarantees.warmWithinS"),
+        )
+
+    def resend_budget(self) -> ResendBudget | None:
+        span_ms = self.ms("guarantees.resendSpanS")
+        if not span_ms:
+            return None
+        spare, share = self.number("guarantees.spareAttempts"), self.number("guarantees.extraShare")
+        return ResendBudget(spare=spare, share=share, span_ms=span_ms)
+
+    def earnings(self) -> Earnings:
+        return Earnings(
+            in_share=self.number("extra.shareWorth", 1.0),
+            beyond=self.number("extra.beyondShare", 1.0),
+            mean_units=self.number("extra.meanUnits", 1.0),
+            largest_units=self.number("extra.largest", 1.0),
+            meter_ms=self.ms("extra.meterPeriodS"),
+            tells_elsewhere=self.flag("extra.saysOthers"),
+        )
+
+    def permits(self) -> Permits:
+        return Permits(
+            most_sends=int(self.number("limits.maxAttempts", 1)),
+            copies=self.flag("limits.secondCopies"),
+            cancel=self.flag("limits.mayCancel"),
+            probe=self.flag("limits.mayProbe"),
+            come_back_ms=self.ms("limits.maxRetryAfterS") if self.flag("limits.retryAfter") else 0.0,
+            peers=self.flag("limits.peerMessages"),
+            marks_repeats=self.flag("clients.marksRetry"),
+            must_ask=self.text("membershipMode") == "ask",
+            ask_within_ms=self.ms("guarantees.askWithinS"),
+        )
+
+    def dispatcher(self, make: Callable[..., Dispatcher], seed: int) -> Dispatcher:
+        """The module as these pairs want it."""
+        return make(
+            seed=seed,
+            number=int(self.number("ordinal")),
+            dispatchers=max(1, int(self.number("balancers", 1))),
+            workloads=list(self.workloads().values()),
+            earnings=self.earnings(),
+            cold=self.cold_start(),
+            budget=self.resend_budget(),
+            permits=self.permits(),
+            key_rest_ms=self.ms("guarantees.turnGapS"),
+        )
--- /dev/null
+++ b/cherrygrade/transport/listening.py
@@ -0,0 +1,20 @@
+"""Listening: one way for every door of the program."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+
+async def listen(
+    factory: Callable[[], Any], address: str, backlog: int, abreast: int = 100
+) -> asyncio.Server:
+    """A queue of `backlog` at the door, `abreast` accepted in one turn: asyncio takes one figure for both."""
+    host, _, port = address.rpartition(":")
+    door = socket.create_server((host, int(port)), backlog=backlog)
+    door.setblocking(False)
+    server = await asyncio.get_running_loop().create_server(factory, sock=door, backlog=abreast)
+    door.listen(backlog)
+    return server
--- a/cherrygrade/wirehost/host.py
+++ b/cherrygrade/wirehost/host.py
@@ -14,11 +14,10 @@
 from cherrygrade.door import Inbox, Nodes
 from cherrygrade.interface import Node, Rpc, Send
 from cherrygrade.policy import Dispatcher
+from cherrygrade.start import StartPairs, flag
 from cherrygrade.wirehost.codec import (
     OUTCOMES,
     STANDINGS,
-    StartPairs,
-    flag,
     load_report,
     ms,
     number,
@@ -200,17 +199,7 @@
     def _born(self, parts: list[str]) -> None:
         who = parts[1]
         pairs = StartPairs(parts[3:])
-        dispatcher = Dispatcher(
-            seed=int(number(parts[2])),
-            number=int(pairs.number("ordinal")),
-            dispatchers=max(1, int(pairs.number("balancers", 1))),
-            workloads=list(pairs.workloads().values()),
-            earnings=pairs.earnings(),
-            cold=pairs.cold_start(),
-            budget=pairs.resend_budget(),
-            permits=pairs.permits(),
-            key_rest_ms=pairs.ms("guarantees.turnGapS"),
-        )
+        dispatcher = pairs.dispatcher(Dispatcher, int(number(parts[2])))
         writer = InstanceWriter(who, self._lines)
         self._instances[who] = Instance(writer=writer, dispatcher=dispatcher, pairs=pairs)
         self._stir(self._instances[who])
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -9,7 +9,7 @@
 from house import House, run
 
 from cherrygrade.client import Client, Errored, Ok, Rejected
-from cherrygrade.gateway.process import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN
+from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN
 from cherrygrade.interface import Outcome, Permits
 from cherrygrade.policy import Dispatcher
 from cherrygrade.site import Bounds, Lines
