--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -159,6 +159,14 @@
     asyncio.run(run_register(listen, control, record))
 
 
+@standin.command(name="platform")
+def standin_platform(*, discovery: str = "127.0.0.1:8500", nodes: int = 3) -> None:
+    """Run the platform's discovery and some storage nodes, to try `python -m cherrygrade platform` with."""
+    from cherrygrade.standin.web import run_platform
+
+    asyncio.run(run_platform(discovery, nodes))
+
+
 @lab.command(name="run")
 def lab_run(
     scenario: Path,
--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -67,8 +67,6 @@
         self._wire += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.fault = Fault(400, "no other protocol is spoken here")
         except httptools.HttpParserError as trouble:
             cause = trouble.__context__
             self.fault = cause if isinstance(cause, Fault) else Fault(400, str(trouble)[:200])
@@ -106,6 +104,8 @@
         message = self._message
         assert message is not None
         self._in_head = False
+        if self._parser.should_upgrade():
+            raise Fault(400, "no other protocol is spoken here")
         length = message.fields.get(b"content-length", b"")
         encoding = message.fields.get(b"transfer-encoding")
         if encoding is not None and encoding.lower() != b"chunked":
@@ -128,7 +128,7 @@
         assert message is not None
         message.body, self._body = bytes(self._body), bytearray()
         self._in_head = True
-        if not (self._answers and 100 <= message.status < 200 and message.status != 101):
+        if not (self._answers and 100 <= message.status < 200):
             self.found.append(message)
 
 
--- a/cherrygrade/platform/discovery.py
+++ b/cherrygrade/platform/discovery.py
@@ -15,8 +15,7 @@
 from cherrygrade.gateway.backoff import Backoff
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node
-from cherrygrade.platform.listing import Listing
-from cherrygrade.platform.orders import place
+from cherrygrade.platform.listing import Listing, place
 
 QUIET_S = 5.0  # an empty line is due every 2 s
 MOST_LINE = 4 * 1024 * 1024
--- a/cherrygrade/platform/listing.py
+++ b/cherrygrade/platform/listing.py
@@ -11,11 +11,18 @@
 
 from cherrygrade.door import Nodes
 from cherrygrade.interface import Node, Standing
-from cherrygrade.platform.orders import place
 
 STANDINGS = {"in_service": Standing.LIVE, "terminating": Standing.DRAINING, "terminated": Standing.GONE}
 
 
+def place(text: str) -> tuple[str, int]:
+    """Host and port of an address; ValueError where it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"'{text[:80]}' is no host:port")
+    return host, int(port)
+
+
 class Listing:
     """Nodes by `host`, and the `dial` of each; a node that is gone leaves both tables with `forget`."""
 
--- a/cherrygrade/platform/orders.py
+++ b/cherrygrade/platform/orders.py
@@ -8,6 +8,9 @@
 from pathlib import Path
 from typing import Any
 
+from cherrygrade.door import Nodes
+from cherrygrade.platform.listing import Listing, place
+from cherrygrade.policy import Dispatcher
 from cherrygrade.start import StartPairs
 
 
@@ -26,14 +29,6 @@
     pairs: StartPairs
 
 
-def place(text: str) -> tuple[str, int]:
-    """Host and port of an address; ValueError where it is none."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"'{text[:80]}' is no host:port")
-    return host, int(port)
-
-
 def read_orders(env: Mapping[str, str]) -> Orders:
     file = env.get("BALANCER_CONFIG", "")
     if not file:
@@ -79,15 +74,20 @@
             raise OrdersError("settings.classes: empty")
         if not pairs.plans():
             raise OrdersError("settings.grades: empty")
-        pairs.cold_start(), pairs.resend_budget(), pairs.earnings(), pairs.permits()
+        pairs.dispatcher(Dispatcher, number)
     except ValueError as trouble:
         raise OrdersError(f"settings: {trouble}") from None
+    known = table("known", told, {"seq": -1, "whole": True, "hosts": []})
+    try:
+        Listing(Nodes(), float).hear(known)
+    except ValueError as trouble:
+        raise OrdersError(f"known: {trouble}") from None
     return Orders(
         name=text("name", "BALANCER_NAME"),
         listen=listen,
         discovery=discovery,
         seed=number,
         sockets=sockets,
-        known=table("known", told, {"seq": -1, "whole": True, "hosts": []}),
+        known=known,
         pairs=pairs,
     )
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from cherrygrade.compiled import dispatcher
 from cherrygrade.door import Nodes
@@ -40,8 +40,14 @@
 class Platform:
     """One dispatcher. Links are a node each, visits a client's connection each."""
 
-    def __init__(self, orders: Orders, log: Callable[..., None], make: Callable[..., Dispatcher]) -> None:
-        self.orders, self.log = orders, log
+    def __init__(
+        self,
+        orders: Orders,
+        log: Callable[..., None],
+        make: Callable[..., Dispatcher],
+        env: Mapping[str, str] = os.environ,
+    ) -> None:
+        self.orders, self.log, self.env = orders, log, env
         pairs = orders.pairs
         self.workloads, self.plans, self.permits = pairs.workloads(), pairs.plans(), pairs.permits()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
@@ -88,7 +94,7 @@
     def reload(self) -> None:
         """The file is read anew: a bad one changes nothing. Only discovery's address is taken."""
         try:
-            orders = read_orders(os.environ)
+            orders = read_orders(self.env)
         except OrdersError as trouble:
             self.log("reload refused", why=str(trouble))
             return
--- /dev/null
+++ b/cherrygrade/standin/web.py
@@ -0,0 +1,141 @@
+"""Stand-ins for the platform's storage nodes and discovery, on HTTP/1.1: they answer as they are told to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from typing import Any
+
+from cherrygrade.http.reader import Message, Reader
+from cherrygrade.http.writer import answer
+from cherrygrade.transport.listening import listen
+
+
+class Peer(asyncio.BufferedProtocol):
+    """A connection that a dispatcher made."""
+
+    def __init__(self, owner: WebNode | WebDiscovery) -> None:
+        self.owner, self._reader = owner, Reader(answers=False)
+        self._buffer = memoryview(bytearray(16 * 1024))
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.owner.peers.append(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._reader.feed(bytes(self._buffer[:nbytes]))
+        for message in self._reader.found:
+            self.owner.got(self, message)
+        self._reader.found.clear()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.owner.peers.remove(self)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def cut(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Web:
+    """A listener and the connections made to it."""
+
+    def __init__(self, address: str = "127.0.0.1:0") -> None:
+        self.address = address
+        self.peers: list[Peer] = []
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        self._server = await listen(lambda: Peer(self), self.address, 64)  # type: ignore[arg-type]
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def close(self) -> None:
+        """As a process that dies."""
+        if self._server is not None:
+            self._server.close()
+        for peer in [*self.peers]:
+            peer.cut()
+
+
+class WebNode(Web):
+    """Answers a read with bytes that name its target, `work_ms` later. `script` says what comes instead: raw
+    bytes, or None for silence, or False for a connection that is cut."""
+
+    def __init__(self, host: str, shard: int, work_ms: float = 2.0, address: str = "127.0.0.1:0") -> None:
+        super().__init__(address)
+        self.host, self.shard, self.work_ms = host, shard, work_ms
+        self.came: list[Message] = []
+        self.script: deque[bytes | bool | None] = deque()
+
+    def got(self, peer: Peer, message: Message) -> None:
+        self.came.append(message)
+        asyncio.get_running_loop().call_later(self.work_ms / 1000.0, self._answer, peer, message)
+
+    def _answer(self, peer: Peer, message: Message) -> None:
+        told: bytes | bool | None = self.script.popleft() if self.script else True
+        if told is False:
+            peer.cut()
+        elif told is not None:
+            peer.write(told if isinstance(told, bytes) else answer(200, b"of " + message.target))
+
+    def entry(self, health: str = "in_service", born_ms: int = 0) -> dict[str, Any]:
+        return {
+            "host": self.host,
+            "dial": self.address,
+            "site": "z",
+            "class": "k",
+            "block": self.shard,
+            "health": health,
+            "share": 1.0,
+            "born_ms": born_ms,
+        }
+
+
+class WebDiscovery(Web):
+    """Tells the whole list to whoever watches, and each change after it."""
+
+    def __init__(self, address: str = "127.0.0.1:0") -> None:
+        super().__init__(address)
+        self.version, self.hosts = 1, dict[str, dict[str, Any]]()
+        self.asked: list[bytes] = []
+
+    def got(self, peer: Peer, message: Message) -> None:
+        self.asked.append(message.target)
+        peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.write(peer, self.version, True, [*self.hosts.values()])
+
+    def write(self, peer: Peer, version: int, whole: bool, hosts: list[dict[str, Any]]) -> None:
+        self.raw(peer, json.dumps({"seq": version, "whole": whole, "hosts": hosts}).encode() + b"\n")
+
+    def raw(self, peer: Peer, line: bytes) -> None:
+        peer.write(b"%x\r\n%b\r\n" % (len(line), line))
+
+    def tell(self, *entries: dict[str, Any]) -> None:
+        self.version += 1
+        for entry in entries:
+            self.hosts[entry["host"]] = entry
+        for peer in self.peers:
+            self.write(peer, self.version, False, [*entries])
+
+
+async def run_platform(address: str, count: int) -> None:
+    """Until it is ended from outside."""
+    discovery = WebDiscovery(address)
+    await discovery.open()
+    for n in range(count):
+        node = WebNode(f"s-{n}", n, work_ms=20.0)
+        await node.open()
+        discovery.tell(node.entry())
+    print(f"discovery {discovery.address}, {count} nodes", flush=True)
+    await asyncio.get_running_loop().create_future()
--- a/cherrygrade/start.py
+++ b/cherrygrade/start.py
@@ -50,7 +50,7 @@
 
     def same(self) -> dict[str, str]:
         """All of it, to be held against another."""
-        return {name: value for name, value in self._pairs.items() if name != "seed"}
+        return dict(self._pairs)
 
     def text(self, path: str, default: str = "") -> str:
         value = self._pairs.get(path, default)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,77 @@
+"""What is read of HTTP, and what is not: the grammar is llhttp's, the bounds are ours."""
+
+from __future__ import annotations
+
+import pytest
+
+from cherrygrade.http.reader import MOST_BODY, MOST_HEAD, Reader, closes
+from cherrygrade.http.writer import answer, ask
+
+PUT = b"PUT /a HTTP/1.1\r\n"
+
+
+def read(data: bytes, answers: bool = False, piece: int = 10**9) -> Reader:
+    reader = Reader(answers)
+    for at in range(0, len(data), piece):
+        reader.feed(data[at : at + piece])
+    return reader
+
+
+@pytest.mark.parametrize("piece", [1, 7, 10**9])
+def test_what_is_written_is_read_in_pieces_of_any_size(piece):
+    data = ask(b"PUT", b"/a?b=c", b"h:1", [(b"X-A", b"1")], b"body") + ask(b"GET", b"/b", b"h:1")
+    put, get = read(data, piece=piece).found
+    assert (put.method, put.target, put.body, put.fields[b"x-a"]) == (b"PUT", b"/a?b=c", b"body", b"1")
+    assert (get.method, get.body) == (b"GET", b"")
+    one = read(answer(503, b"no", b"Retry-After: 0.250\r\n", close=True), True, piece).found[0]
+    assert (one.status, one.body, one.fields[b"retry-after"], closes(one)) == (503, b"no", b"0.250", True)
+
+
+# A head that two readers take differently hides an RPC within another's body.
+@pytest.mark.parametrize(
+    "data",
+    [
+        PUT + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        PUT + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        PUT + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        PUT + b"Content-Length: -3\r\n\r\n",
+        PUT + b"Content-Length: 0x10\r\n\r\n",
+        PUT + b"Content-Length: 99999999999999999999999\r\n\r\n",
+        PUT + b"Content-Length : 3\r\n\r\nabc",
+        PUT + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        PUT + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET /a HTTP/1.1\nA: b\n\n",
+        b"GET /a\x01b HTTP/1.1\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nA: b\x00c\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00",
+    ],
+)
+def test_what_contradicts_itself_is_no_message(data):
+    reader = read(data)
+    assert reader.fault is not None and not reader.found
+
+
+@pytest.mark.parametrize(
+    "data, code",
+    [
+        (PUT + b"A: " + b"a" * MOST_HEAD, 431),
+        (PUT + b"A: b\r\n" * 2000, 431),
+        (b"GET /" + b"a" * (MOST_HEAD + 1), 431),
+        (PUT + b"Content-Length: %d\r\n\r\n" % (MOST_BODY + 1), 413),
+        (PUT + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n%b\r\n" % bytes(0x8000) * 3, 413),
+        (PUT + b"Transfer-Encoding: chunked\r\n\r\n" + b"1;%b\r\nx\r\n" % (b"e" * 900) * 400, 413),
+    ],
+)
+def test_what_does_not_end_is_given_up_in_bounded_memory(data, code):
+    reader = read(data, piece=4096)
+    assert reader.fault is not None and reader.fault.code == code and not reader.found
+
+
+def test_answers_in_front_are_passed_over_and_what_comes_behind_does_not_spoil_what_was_whole():
+    early = read(b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + answer(200, b"ab"), True)
+    assert [one.body for one in early.found] == [b"ab"] and early.fault is None
+    noisy = read(answer(200, b"ab") + b"NOISE", True)
+    assert [one.body for one in noisy.found] == [b"ab"] and noisy.fault is not None
+    endless = read(b"HTTP/1.1 200 OK\r\n\r\nabc", True)
+    assert not endless.found and endless.within
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,437 @@
+"""A story for each failure that the platform's dispatcher meets on its sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+
+import pytest
+from square import SETTINGS, Square, ask, play
+
+from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_CLEAN
+from cherrygrade.http.writer import answer
+from cherrygrade.interface import Outcome, Standing
+from cherrygrade.platform.orders import OrdersError, read_orders
+from cherrygrade.policy import Dispatcher
+
+TARGET = b"/api/00000000000000aa/00000000000000bb"
+
+
+class Watched(Dispatcher):
+    """Keeps what it was told of sends."""
+
+    told: list[Outcome | None]
+
+    def decide(self, now, writer, **came):
+        self.told = getattr(self, "told", []) + [send.outcome for send in came["answers"]]
+        super().decide(now, writer, **came)
+
+
+def test_a_read_and_a_write_pass_through_and_come_back_unchanged(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start()
+        caller = await square.caller()
+        assert (await caller.call(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200
+        read = await caller.call(ask((TARGET + b"?v=1").decode(), X_Call_Id="00000000000000ab"))
+        assert (read.status, read.body) == (200, b"of " + TARGET + b"?v=1")
+        wrote = await caller.call(ask(method="PUT", body=b"\x00\xff" * 30000))
+        assert wrote.status == 200
+        first, second = node.came
+        assert (first.method, first.target) == (b"GET", TARGET + b"?v=1")
+        assert first.fields[b"x-call-id"] == b"00000000000000ab"
+        assert 900 < int(first.fields[b"x-budget-ms"]) <= 1000
+        assert (second.method, second.body) == (b"PUT", b"\x00\xff" * 30000)
+        assert square.platform.links and not square.platform.open
+
+    play(tmp_path, story)
+
+
+# What a client can't mean is told to it and goes nowhere: passed on, it would void more than its own RPC.
+@pytest.mark.parametrize(
+    "data",
+    [
+        ask("/api/00000000000000AA/00000000000000bb"),
+        ask("/elsewhere"),
+        ask(method="POST"),
+        ask(X_Call_Id=None),
+        ask(X_Call_Id="short"),
+        ask(X_Call_Class="nothing"),
+        ask(X_Call_Class="write"),
+        ask(X_Storage_Class="nothing"),
+        ask(X_Budget_Ms=None),
+        ask(X_Budget_Ms="soon"),
+        ask(X_Budget_Ms="-5"),
+        ask(X_Budget_Ms="1e3"),
+        ask(X_Budget_Ms="9" * 400),
+        ask(X_Extent=None),
+        ask(X_Extent="units=0,shard=0,hosts=1"),
+        ask(X_Extent="units=nan,shard=0,hosts=1"),
+        ask(X_Extent="units=1,shard=-7,hosts=1"),
+        ask(X_Call_Id="0000000000000001\r\nX-Call-Id: 0000000000000002"),
+        ask(method="PUT", Content_Length="61000000"),
+        ask(method="PUT", body=b"abc", Transfer_Encoding="chunked"),
+        b"\x00\x01\x02 nonsense\r\n\r\n",
+    ],
+)
+def test_what_cannot_be_meant_is_told_at_once_and_nothing_is_sent(tmp_path, data):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start()
+        other = await square.caller()
+        answered = await (await square.caller()).call(data)
+        assert answered is None or 400 <= answered.status < 500
+        assert (await other.call(ask())).status == 200
+        assert len(node.came) == 1
+
+    play(tmp_path, story)
+
+
+def test_a_borrowed_id_is_told_so_and_the_open_rpc_goes_on(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=150.0)
+        await square.start()
+        one, two = await square.caller(), await square.caller()
+        data = ask()
+        one.writer.write(data)
+        await square.until(lambda: node.came)
+        assert (await two.call(data)).status == 409
+        assert (await one.answer()).status == 200 and len(node.came) == 1
+
+    play(tmp_path, story)
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+# A node's answer that is not whole and plain is nobody's: the RPC may go again, its connection may not.
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\x00\x01noise that is no head\r\n\r\n",
+        OK + b"X: " + b"a" * 20000,
+        OK + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        OK + b"Content-Length: -1\r\n\r\n",
+        OK + b"Content-Length: 3000000000\r\n\r\n" + b"a" * 50000,
+        OK + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+        answer(503, b"not marked"),
+        answer(500, b"trouble"),
+        answer(404, b"what"),
+    ],
+)
+def test_a_spoilt_answer_reaches_nobody_and_the_read_goes_again(tmp_path, spoilt):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.append(spoilt)
+        caller = await square.caller()
+        read = await caller.call(ask())
+        assert (read.status, read.body) == (200, b"of " + TARGET)
+        assert platform.rounds.module.told == [Outcome.ERRORED, Outcome.OK]
+        assert (await caller.call(ask())).body == b"of " + TARGET
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("behind", [b"NOISE", answer(200, b"somebody else's"), b"\r\n", b"HTTP/1.1 20"])
+def test_bytes_behind_an_answer_are_never_the_next_rpcs(tmp_path, behind):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start()
+        node.script.append(answer(200, b"mine") + behind)
+        caller = await square.caller()
+        assert (await caller.call(ask())).body == b"mine"
+        assert (await caller.call(ask())).body == b"of " + TARGET
+        assert len(node.came) == 2  # on a connection of its own at once, not after a spoilt send
+
+    play(tmp_path, story)
+
+
+def test_bytes_that_come_late_behind_an_answer_are_seen_before_the_connection_is_used(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start()
+        caller = await square.caller()
+        assert (await caller.call(ask())).status == 200
+        peer, decide = node.peers[0], square.platform.rounds.module.decide
+
+        def late(now, writer, **came):  # in the socket as the module decides, and not yet read here
+            if came["taken"]:
+                peer.transport._sock.send(answer(200, b"somebody else's"))
+            decide(now, writer, **came)
+
+        square.platform.rounds.module.decide = late
+        assert (await caller.call(ask())).body == b"of " + TARGET
+        assert len(node.came) == 2
+
+    play(tmp_path, story)
+
+
+def test_answers_in_front_and_reports_that_make_no_sense_harm_nothing(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start(Watched)
+        bad = b"X-Meter: nan\r\nX-Delta: -4\r\nX-Load-Report: TEXT queue=inf, =, util\r\n"
+        node.script.append(b"HTTP/1.1 100 Continue\r\n\r\n" + answer(200, b"mine", bad))
+        assert (await (await square.caller()).call(ask())).body == b"mine"
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(
+    "script, told",
+    [
+        (answer(503, fields=b"X-Rejected: 1\r\n"), Outcome.FULL),
+        (answer(504, fields=b"X-Rejected: 1\r\n"), Outcome.FULL),
+        (answer(504), Outcome.ERRORED),
+        (False, Outcome.RESET),
+    ],
+)
+def test_outcomes_are_told_as_the_protocol_means_them(tmp_path, script, told):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.append(script)
+        once = {"X_Call_Class": "once", "method": "PUT", "body": b"x"}
+        answered = await (await square.caller()).call(ask(**once))
+        assert platform.rounds.module.told[0] is told
+        # What may have run and must not run again is errored and never sent anew.
+        assert (answered.status, len(node.came)) == ((200, 2) if told is Outcome.FULL else (502, 1))
+
+    play(tmp_path, story)
+
+
+def test_a_node_that_cannot_be_reached_never_ran_it(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.close()
+        once = {"X_Call_Class": "once", "method": "PUT", "body": b"x"}
+        answered = await (await square.caller()).call(ask(**once))
+        assert answered.status == 503 and Outcome.UNCONNECTED in platform.rounds.module.told
+
+    play(tmp_path, story)
+
+
+def test_a_silent_node_is_given_up_in_time_and_its_connection_closes(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.extend([None] * 9)
+        began = time.monotonic()
+        answered = await (await square.caller()).call(ask(X_Budget_Ms="300"))
+        assert answered.status in (502, 503) and time.monotonic() - began < 0.3
+        assert Outcome.TIMED_OUT in platform.rounds.module.told
+        await square.until(lambda: not node.peers)
+        assert not platform.open and not platform.sockets.used
+
+    play(tmp_path, story)
+
+
+def test_rejected_tells_when_to_come_back(tmp_path):
+    async def story(square: Square) -> None:
+        await square.start()  # and no node at all
+        answered = await (await square.caller()).call(ask(X_Budget_Ms="150"))
+        assert answered.status == 503 and float(answered.fields[b"retry-after"]) == 1.0
+
+    play(tmp_path, story)
+
+
+def test_a_client_that_leaves_is_told_to_the_module_and_owes_nothing(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=200.0)
+        platform = await square.start()
+        caller = await square.caller()
+        caller.writer.write(ask())
+        await square.until(lambda: node.came)
+        caller.writer.close()
+        await square.until(lambda: not platform.open)
+        await square.until(lambda: not platform.rounds.module.jobs)
+
+    play(tmp_path, story)
+
+
+def test_rpcs_written_at_once_on_one_connection_are_answered_in_their_order(tmp_path):
+    async def story(square: Square) -> None:
+        await square.node()
+        await square.start()
+        caller = await square.caller()
+        targets = [f"/api/00000000000000aa/{n:016x}" for n in range(60)]
+        rpcs = b"".join(ask(target, X_Budget_Ms="2000") for target in targets)
+        caller.writer.write(rpcs + b"rubbish\r\n\r\n")
+        for target in targets:
+            assert (await caller.answer()).body == b"of " + target.encode()
+        assert (await caller.answer()).status == 400
+
+    play(tmp_path, story)
+
+
+def test_a_half_message_and_silence_are_ended_and_a_silent_crowd_shuts_nobody_out(tmp_path):
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start()
+        half, silent, worker = [await square.caller() for _ in range(3)]
+        assert (await worker.call(ask())).status == 200
+        half.writer.write(ask()[:-9])
+        crowd = [await square.caller() for _ in range(150)]
+        await square.until(lambda: len(platform.visits) <= platform.most_visits)
+        began = time.monotonic()
+        assert (await worker.call(ask())).status == 200
+        assert (await (await square.caller()).call(ask())).status == 200
+        told = await half.answer()
+        assert told is None or told.status == 408
+        assert await silent.answer() is None and await crowd[-1].answer() is None
+        assert time.monotonic() - began < 3.0
+        assert (await worker.call(ask())).status == 200
+
+    play(tmp_path, story)
+
+
+def test_what_waits_for_a_connection_stays_here_once_its_node_drains(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        platform.sockets.most = 0  # none can be made
+        caller = await square.caller()
+        caller.writer.write(ask())
+        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        square.discovery.tell(node.entry("terminating"))
+        await square.until(lambda: Outcome.UNSENT in platform.rounds.module.told)
+        platform.sockets.most = 9
+        assert (await caller.answer()).status == 503 and not node.came
+
+    play(tmp_path, story)
+
+
+def test_a_node_is_its_host_wherever_it_is_reached_and_is_forgotten_when_gone(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        caller = await square.caller()
+        assert (await caller.call(ask())).status == 200
+        met = next(iter(platform.listing.dials))
+        node.close()
+        node.address = "127.0.0.1:0"
+        await node.open()
+        born = int(time.time() * 1000.0) - 60000
+        square.discovery.tell(node.entry(born_ms=born))
+        await square.until(lambda: met.born_ms)
+        assert abs(platform.rounds.clock() - met.born_ms - 60000.0) < 2000.0
+        await square.until(lambda: not platform.rounds.module.lanes[met].strikes)
+        assert (await caller.call(ask())).status == 200
+        square.discovery.tell(node.entry("terminated"))
+        await square.until(lambda: not platform.listing.dials and not platform.links)
+        assert not platform.nodes.by_address
+        square.discovery.tell(node.entry())
+        await square.until(lambda: platform.listing.dials)
+        assert next(iter(platform.listing.dials)) is not met
+        assert (await caller.call(ask())).status == 200
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(
+    "line", [b"{nonsense\n", b'{"seq":7}\n', b'{"seq":7,"whole":false,"hosts":[{"host":"a"}]}\n', None]
+)
+def test_a_watch_that_breaks_or_tells_nonsense_is_begun_anew_and_the_list_stands(tmp_path, line):
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start()
+        await square.until(lambda: square.discovery.asked)
+        await square.until(lambda: square.discovery.peers)
+        if line is None:
+            square.discovery.peers[0].cut()
+        else:
+            square.discovery.raw(square.discovery.peers[0], line)
+        await square.until(lambda: len(square.discovery.asked) > 1)
+        assert square.discovery.asked[1].endswith(b"since=2")
+        square.discovery.write(square.discovery.peers[-1], 1, True, [])  # older than what is known
+        await asyncio.sleep(0.05)
+        assert [node.standing for node in platform.listing.dials] == [Standing.LIVE]
+        assert (await (await square.caller()).call(ask())).status == 200
+
+    play(tmp_path, story)
+
+
+def test_a_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        await square.until(lambda: square.discovery.asked)
+        (tmp_path / "config.json").write_text("{")
+        os.kill(os.getpid(), signal.SIGHUP)
+        await square.until(lambda: any(event == "reload refused" for event, _ in square.logs))
+        old = square.discovery
+        square.discovery = type(old)()
+        square.discovery.version, square.discovery.hosts = old.version, old.hosts
+        await square.discovery.open()
+        square.write_orders()
+        os.kill(os.getpid(), signal.SIGHUP)
+        await square.until(lambda: square.discovery.asked and not old.peers)
+        old.close()
+        square.discovery.tell(node.entry("terminating"))
+        await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.DRAINING)
+        assert not platform.done.done()
+
+    play(tmp_path, story)
+
+
+def test_an_order_to_leave_answers_what_is_held_and_what_still_comes(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=700.0)
+        platform = await square.start()
+        held, idle, late = [await square.caller() for _ in range(3)]
+        held.writer.write(ask())
+        await square.until(lambda: node.came)
+        platform.leave()
+        await asyncio.sleep(0.3)
+        node.work_ms = 2.0
+        new = await square.caller()
+        for caller in (late, new):
+            answered = await caller.call(ask())
+            assert (answered.status, answered.fields[b"connection"]) == (200, b"close")
+        assert await idle.answer() is None
+        assert (await held.answer()).status == 200
+        assert await asyncio.wait_for(platform.done, 1.0) == LEFT_CLEAN
+
+    play(tmp_path, story)
+
+
+def test_the_modules_own_fault_ends_the_process_with_answers_to_all(tmp_path):
+    class Broken(Dispatcher):
+        def take(self, rpc, now, writer):
+            raise ValueError("broken")
+
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start(Broken)
+        assert (await (await square.caller()).call(ask())).status == 502
+        assert await platform.done == LEFT_BROKEN
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"listen": "here"}, "listen"),
+        ({"discovery": 5}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 9}}, "limits.sockets"),
+        ({"settings": SETTINGS | {"classes": []}}, "settings.classes"),
+        ({"settings": SETTINGS | {"limits": {"maxAttempts": "four"}}}, "settings"),
+        ({"known": {"seq": 1}}, "known"),
+    ],
+)
+def test_a_wrong_configuration_names_its_key(tmp_path, change, named):
+    square = Square(tmp_path)
+    square.write_orders()
+    whole = json.loads((tmp_path / "config.json").read_text()) | change
+    (tmp_path / "config.json").write_text(json.dumps(whole))
+    with pytest.raises(OrdersError, match=rf"^{named}"):
+        read_orders(square.env)
