Clients in haste are told from repeats by what was given up here; one beat kept for a last answer

Checked: a trace of lanes (waiting 5 ms, busy 0, no strikes, few lines, nothing waiting for connections), CPU (0.2 of 0.85), tries an RPC (1.00): neither load, window, connections nor repeats. A trace of rejections: nine in ten had never been sent, were rejected in the round that took them, had 16 to 40 ms left where the longest of their workload was 660, and stood 550 ms past their soft deadline.

One beat is kept for the last answer. On the platform 4 ms for the answer's way, time-outs 1 ms late at most.

--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -27,7 +27,7 @@
 from cherrygrade.policy import Dispatcher
 from cherrygrade.transport.listening import listen
 
-ANSWER_MS = 10.0  # kept back from each client's time for the answer's way
+ANSWER_MS, GRAIN_MS = 4.0, 1.0  # kept back from each client's time for the answer; how late a time-out may be
 SILENT_MS, SHORT_MS, LONG_MS = 2000.0, 2000.0, 60000.0  # silence from the start; idle in a crowd, and else
 SWEEP_S, TELL_S = 0.25, 10.0
 KNOCK_MS = 500.0  # that clients still come after the order to leave
@@ -59,7 +59,7 @@
         self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
         self.links: dict[Node, Link] = {}
         self.nodes = Nodes()
-        self.wheel: Wheel[Out] = Wheel()
+        self.wheel: Wheel[Out] = Wheel(GRAIN_MS)
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         spare = orders.sockets - OWN_SOCKETS
         self.most_visits = spare // 2
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -250,8 +250,7 @@
         work = send.units or send.rpc.units
         outcome, rate = send.outcome, send.took_ms / max(work, 1e-6)
         if send.lead:  # the one that carried it tells of the node
-            soft = send.rpc.workload.soft_ms
-            seen = (now, (send.sent_ms + send.took_ms - job.taken) / soft)
+            seen = (now, (send.sent_ms + send.took_ms - job.taken) / send.rpc.workload.soft_ms)
             return self.views.extend([seen] * (job.pressed and outcome is Outcome.OK))
         if outcome is Outcome.UNCONNECTED:  # a reset may be the connection's trouble only: it strikes nobody
             self.trouble(now, patience)
@@ -422,6 +421,7 @@
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
         self.tries: dict[str, float] = {}  # longest time given for a try; a workload each
+        self.ended: list[set[tuple[str, str]]] = [set(), set()]  # given up of late; each drops out in turn
         self.volumes: dict[str, Volume] = {}
         self.jobs: dict[Rpc, Job] = {}
         self.lanes: dict[Node, Lane] = {}  # a machine each; dropped once gone with nothing left
@@ -437,7 +437,7 @@
         self.kept: dict[Lane, Keeper] = {}  # nodes whose load is pooled here; dropped once quiet
         self.said: dict[int | None, list[bytes]] = {}  # words of this round; emptied by it
         self.places: dict[int, Lane] = {}  # lanes as peers name them; made anew with each list
-        self.before = self.now = 0.0  # the round before this one, and this
+        self.before = self.now = self.turn_at = 0.0  # the round before this one, this, and when `ended` turns
 
     def decide(self, now: float, writer: Writer, *, taken: Sequence[Rpc] = (), answers: Sequence[Send] = (),
                left: Sequence[Rpc] = (), heard: Sequence[Node] = (), list_answered: bool | None = None,
@@ -445,6 +445,8 @@
         self.gate.pass_time(now)
         self.list(now, heard, list_answered)
         self.before, self.now = self.now, now
+        if now >= self.turn_at:
+            self.ended, self.turn_at = [set(), self.ended[0]], now + max(self.tries.values(), default=1000.0)
         for peer, word in words:
             self.hear(peer, word, now)
         for send in answers:
@@ -494,9 +496,7 @@
         self.nonsense += not whole
 
     def keep(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
-        if lane not in self.kept:
-            self.kept[lane] = Keeper(now, 4.0 * self.earnings.mean_units)
-        self.kept[lane].note(kind, units, took, now)
+        self.kept.setdefault(lane, Keeper(now, 4.0 * self.earnings.mean_units)).note(kind, units, took, now)
         self.tell_at = min(self.tell_at, (now // TELL_MS + 1.0) * TELL_MS)
 
     def report(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
@@ -561,16 +561,15 @@
     def take(self, rpc: Rpc, now: float, writer: Writer) -> None:
         if rpc.workload is None or rpc.plan is None:
             return writer.reject(rpc, 0.0)
-        volume = self.volumes.get(rpc.volume)
-        if volume is None:
-            volume = self.volumes[rpc.volume] = Volume(rpc.plan, rpc.hosts, now, self.earnings)
+        volume = self.volumes.setdefault(rpc.volume, Volume(rpc.plan, rpc.hosts, now, self.earnings))
         volume.pass_time(now)
         left = rpc.give_up_ms - now
         longest = self.tries[rpc.workload.name] = max(self.tries.get(rpc.workload.name, 0.0), left)
-        # Short of time it is a repeat, late since its first try. Where those are marked, an unmarked one lost
-        # no more than this dispatcher stood still: its client is in haste.
-        marked = self.permits.marks_repeats and not rpc.repeat
-        spent = min(longest - left, now - self.before if marked else NEVER)
+        # A repeat that is short of time is late since its first try. Else its client is in haste, and it lost
+        # no more than this dispatcher stood still. Unmarked, a repeat follows what was given up here.
+        given_up = any((rpc.volume, rpc.key) in ended for ended in self.ended)
+        first = not (rpc.repeat if self.permits.marks_repeats else given_up)
+        spent = min(longest - left, now - self.before if first else NEVER)
         job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - spent)
         self.gate.take(job, now)
         self.place(job, now)
@@ -708,6 +707,7 @@
 
     def give_up(self, job: Job, now: float, writer: Writer) -> None:
         """Answer at once, with a come-back time where one is heeded."""
+        self.ended[0].add((job.rpc.volume, job.rpc.key))
         if self.gate.may_reject(job.rpc):
             writer.reject(job.rpc, self.permits.come_back_ms)
         else:
@@ -725,7 +725,7 @@
         """Give up at once what can earn no more than little; batch of due units may still earn late."""
         for job in [*lane.pressed, *lane.batch]:
             rpc, needs = job.rpc, lane.expected(job.rpc.units)
-            late, over = job.soft - needs, rpc.give_up_ms - max(needs, 2.0 * BEAT_MS)
+            late, over = job.soft - needs, rpc.give_up_ms - max(needs, BEAT_MS)
             if now > late and job.pressed:  # else the controller sees survivors only
                 lane.views.append((now, (rpc.give_up_ms - job.taken) / rpc.workload.soft_ms))
             lost = lane.node.standing is not Standing.LIVE and (lane is not self.unplaced or rpc.shard >= 0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -163,13 +163,36 @@
 
 def test_a_clients_retry_that_comes_too_late_stands_behind_those_in_time():
     host = FakeHost()
+    host.take(host.rpc(key="k", shard=9))
+    host.pass_time(500.0)
+    assert len(host.rejected) == 1
     host.take(host.rpc(), host.rpc())
-    late, fresh = host.rpc(gives_up=1500.0), host.rpc()
+    late, fresh = host.rpc(key="k", gives_up=1500.0), host.rpc()
     host.take(late, fresh)
     host.answer(host.sent[0])
     assert host.sent[-1].rpc is fresh and not late.sends
 
 
+def test_a_client_in_haste_is_sent_at_once_however_little_time_it_left():
+    # Unmarked and never given up here, it was taken for a repeat and rejected on idle nodes; so was what had
+    # two beats left, though one is enough to answer in time.
+    host = FakeHost()
+    host.dispatcher.lanes[host.nodes[0]].unit_ms = 2.0
+    host.take(host.rpc(key="a"))
+    host.answer(host.sent[0])
+    hasty = host.rpc(key="b", gives_up=17.0)
+    host.take(hasty)
+    assert hasty.sends and host.dispatcher.jobs[hasty].pressed and not host.rejected
+
+
+def test_what_was_given_up_is_forgotten_in_time():
+    host = FakeHost()
+    for n in range(50):
+        host.take(host.rpc(key=f"k{n}", shard=9))
+        host.pass_time(300.0)
+    assert sum(len(ended) for ended in host.dispatcher.ended) < 20
+
+
 def test_reserved_slots_are_lent_while_nothing_pressed_waits_or_is_out():
     host = FakeHost()
     lane = host.dispatcher.lanes[host.nodes[0]]
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -167,10 +167,13 @@
 
 
 def test_a_first_try_in_haste_is_no_repeat_where_repeats_are_marked():
-    # Its client left itself little time; taken for a repeat it was late, and rejected at once.
+    # Its client left itself little time; taken for a repeat it was late, and rejected at once. Where none is
+    # marked, one whose key was given up here is a repeat.
     sent = []
     for permits in (Permits(most_sends=4, come_back_ms=500.0), MARKS):
         host = FakeHost(permits=permits)
+        host.take(host.rpc(shard=9))
+        host.pass_time(500.0)
         host.dispatcher.lanes[host.nodes[0]].unit_ms = 10.0
         host.take(host.rpc(key="a"))
         host.answer(host.sent[0])
