SIGTERM serves on until shortly before the kill; answers up to 1 MiB pass while there is room

A dispatcher told at 19.61 s ended itself at 20.11 and its successor listened at 23.34, the platform's time. Excluded: reloads and the release of nodes (no errors before the first order), CPU. To blame: Platform.leave, which closed clients' connections at 0.5 s. Now it serves on, closes 0.5 s before the promised kill, errors what is left 0.15 s before.

A trace of answers: all were 200 with 160 to 400 KB, cut off at 64 KiB by Reader.on_headers_complete.

Counts in the log by kind of final answer. The module is untouched.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -13,7 +13,20 @@
 
 MOST_HEAD, MOST_FIELDS = 8 * 1024, 64
 MOST_BODY = 64 * 1024
-MOST_WIRE = MOST_HEAD + 4 * MOST_BODY  # of one message with all its chunk heads and trailers
+MOST_ANSWER = 1024 * 1024  # of an answer, as far as there is room
+
+
+class Room:
+    """Bytes of bodies beyond MOST_BODY that all readers together may hold. Emptied as messages end."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+
+    def claim(self, size: int) -> bool:
+        if self.held + size > self.most:
+            return False
+        self.held += size
+        return True
 
 
 class Fault(Exception):
@@ -44,8 +57,8 @@
     """One direction of a connection. `found` holds whole messages, emptied by the owner; after `fault`
     nothing more is read, what was found before it stands."""
 
-    def __init__(self, answers: bool) -> None:
-        self._answers = answers
+    def __init__(self, answers: bool, room: Room | None = None) -> None:
+        self._answers, self._room, self._claimed = answers, room, 0
         self.found: list[Message] = []
         self.fault: Fault | None = None
         parser: Any = httptools.HttpResponseParser if answers else httptools.HttpRequestParser
@@ -75,7 +88,7 @@
         if self.fault is None and self._message is not None:
             if self._in_head and self._wire > MOST_HEAD:
                 self.fault = Fault(431, "the head is too long")
-            elif self._wire > MOST_WIRE:
+            elif self._wire > MOST_HEAD + 4 * max(MOST_BODY, len(self._body)):
                 self.fault = Fault(413, "the message does not end")
 
     # What the parser calls. An exception here comes out of feed_data as the context of its own.
@@ -111,18 +124,32 @@
         if encoding is not None and encoding.lower() != b"chunked":
             raise Fault(501, "no such transfer encoding is read here")
         message.framed = bool(length) or encoding is not None
-        if length and int(length) > MOST_BODY:
-            raise Fault(413, "the body is too long")
+        if length:
+            self._fit(int(length))
         if self._answers:
             message.status = self._parser.get_status_code()
         else:
             message.method = self._parser.get_method()
 
     def on_body(self, some: bytes) -> None:
-        if len(self._body) + len(some) > MOST_BODY:
-            raise Fault(413, "the body is too long")
+        self._fit(len(self._body) + len(some))
         self._body += some
 
+    def _fit(self, size: int) -> None:
+        """A body of this size is read, or nothing of it."""
+        more = size - MOST_BODY - self._claimed
+        if more <= 0:
+            return
+        if self._room is None or size > MOST_ANSWER or not self._room.claim(more):
+            raise Fault(413, "the body is too long")
+        self._claimed += more
+
+    def let_go(self) -> None:
+        """The body was handed on, or nobody waits for it."""
+        if self._room is not None:
+            self._room.held -= self._claimed
+        self._claimed = 0
+
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
         assert message is not None
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -157,7 +157,7 @@
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
         """The final answer of the RPC that is open."""
-        close = close or self.house.leaving
+        close = close or self.house.closing
         self.open = None
         self.quiet_from = self.house.rounds.clock()
         if self._transport is None or self._ended:
@@ -173,13 +173,23 @@
         self._ended = True
         self._queue.clear()
         if self._transport is not None:
-            if self._paused:  # the client does not read
-                self._transport.abort()
-            else:
-                self._transport.close()
+            self._transport.close()  # what it has not taken yet goes first
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that the client has not taken."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def cut(self) -> None:
+        """It takes too little: by the told length it sees that its answer is not whole."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def turn_out(self) -> None:
         """It has been silent for too long: with half a message it is told why."""
+        if self._ended:
+            self.cut()  # it does not take its last answer either
+            return
         if self._reader.within and self._transport is not None and not self._ended:
             self._transport.write(answer(408, close=True))
         self.end()
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -17,7 +17,7 @@
 from cherrygrade.gateway.held import Out
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
-from cherrygrade.http.reader import Message, Reader, closes
+from cherrygrade.http.reader import Message, Reader, Room, closes
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.platform.clients import Asked
@@ -35,7 +35,7 @@
         self.ready = self.ended = False
         self.quiet_from = 0.0
         self._whole = False  # the last byte of the send is with the system
-        self._reader = Reader(answers=True)
+        self._reader = Reader(answers=True, room=link.sockets.room)
         self._transport: asyncio.Transport | None = None
         self._sock: socket.socket | None = None
 
@@ -64,6 +64,7 @@
             message = reader.found[0]
             more = len(reader.found) > 1 or reader.within or reader.fault is not None
             reader.found.clear()
+            reader.let_go()
             self.out = None
             if more or closes(message) or not message.framed:
                 self.drop()
@@ -84,6 +85,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._reader.let_go()
         out, self.out, ended, self.ended = self.out, None, self.ended, True
         self.link.lost(self)
         if out is not None and not ended:
@@ -109,6 +111,7 @@
     def drop(self) -> None:
         """Close at once; nothing is read any more, and nothing of a send leaves any more."""
         self.ended = True
+        self._reader.let_go()
         if self._transport is not None:
             if self._sock is not None:
                 try:
@@ -120,10 +123,11 @@
 
 
 class Sockets:
-    """Descriptors that links share: when all are used, the connection idle for longest goes for a new one."""
+    """Descriptors that links share: when all are used, the connection idle for longest goes for a new one.
+    Beside them, the room that large answers share."""
 
-    def __init__(self, most: int) -> None:
-        self.most, self.used = most, 0
+    def __init__(self, most: int, room: Room) -> None:
+        self.most, self.used, self.room = most, 0, room
         self.idle: dict[Line, None] = {}  # by when they became idle; emptied by use and by ends
 
     def take(self) -> bool:
--- a/cherrygrade/platform/orders.py
+++ b/cherrygrade/platform/orders.py
@@ -25,6 +25,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory_mb: int
     known: dict[str, Any]
     pairs: StartPairs
 
@@ -68,6 +69,9 @@
     sockets = table("limits", told, {}).get("sockets", 1024)
     if not isinstance(sockets, int) or sockets < 64:
         raise OrdersError("limits.sockets: less than the 64 that a dispatcher needs")
+    memory_mb = table("limits", told, {}).get("memory_mb", 192)
+    if not isinstance(memory_mb, int) or memory_mb < 24:
+        raise OrdersError("limits.memory_mb: less than the 24 that a dispatcher needs")
     pairs = StartPairs.nested(table("settings", told))
     try:
         if not pairs.workloads():
@@ -88,6 +92,7 @@
         discovery=discovery,
         seed=number,
         sockets=sockets,
+        memory_mb=memory_mb,
         known=known,
         pairs=pairs,
     )
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -15,7 +15,7 @@
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke, serve
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
-from cherrygrade.http.reader import Fault, Message
+from cherrygrade.http.reader import Fault, Message, Room
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.logs import plain_log
 from cherrygrade.peers.arrivals import Arrivals
@@ -30,8 +30,9 @@
 ANSWER_MS, GRAIN_MS = 4.0, 1.0  # kept back from each client's time for the answer; how late a time-out may be
 SILENT_MS, SHORT_MS, LONG_MS = 2000.0, 2000.0, 60000.0  # silence from the start; idle in a crowd, and else
 SWEEP_S, TELL_S = 0.25, 10.0
-KNOCK_MS = 500.0  # that clients still come after the order to leave
-LEAVE_MS = 3500.0  # the longest that what is held may take then
+KNOCK_MS = 700.0  # that clients still come after the order to leave
+STAY_MS = 3000.0  # the platform kills no sooner than the longest deadline, this at most, and KNOCK_MS later
+TURN_MS, CUT_MS = 500.0, 150.0  # before that: clients are sent away; what is still held is errored
 OWN_SOCKETS = 24  # listener, discovery twice, event loop, standard streams and what Python opens
 BACKLOG, ABREAST = 512, 16
 BUFFER = 16 * 1024
@@ -52,8 +53,10 @@
         self.workloads, self.plans, self.permits = pairs.workloads(), pairs.plans(), pairs.permits()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
         self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
-        self.leaving = False
-        self.refused = self.answered = 0
+        self.leaving = self.closing = False
+        self._ends_at = float("inf")
+        self.refused = self.left = 0
+        self.finals = {200: 0, 503: 0, 502: 0}
         self.buffer = memoryview(bytearray(BUFFER))
         self.visits: dict[Visit, None] = {}
         self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
@@ -64,7 +67,9 @@
         spare = orders.sockets - OWN_SOCKETS
         self.most_visits = spare // 2
         self.arrivals: Arrivals[Visit] = Arrivals(self.most_visits, self.most_visits // 2)
-        self.sockets = Sockets(spare - self.most_visits)
+        # What nodes bring and what clients have not taken yet each get a part of the memory.
+        self.room = Room(orders.memory_mb * 1024 * 1024 // 4)
+        self.sockets = Sockets(spare - self.most_visits, self.room)
         module = pairs.dispatcher(make, orders.seed)
         self.rounds = Rounds(module, self, self._crashed, lambda text: log("module", text=text))
         # One reading of both clocks: a node's birth is told in Unix time.
@@ -119,22 +124,33 @@
             return
         self.leaving = True
         self.log("leaving", held=len(self.open), clients=len(self.visits))
+        # Who comes after this one comes at the platform's time, however soon this one ends: until shortly
+        # before it, clients are served on the connections that they have.
+        longest = max(workload.deadline_ms for workload in self.workloads.values())
+        stays = min(longest, STAY_MS) + KNOCK_MS
+        self._ends_at = self.rounds.clock() + stays - CUT_MS
         loop = asyncio.get_running_loop()
-        self._timers["knock"] = loop.call_later(KNOCK_MS / 1000.0, self._shut)
-        self._timers["leave"] = loop.call_later(LEAVE_MS / 1000.0, self._end, LEFT_BY_FORCE)
+        self._timers["knock"] = loop.call_later(KNOCK_MS / 1000.0, self._knock_over)
+        self._timers["turn"] = loop.call_later((stays - TURN_MS) / 1000.0, self._shut)
+        self._timers["leave"] = loop.call_later((stays - CUT_MS) / 1000.0, self._end, LEFT_BY_FORCE)
+
+    def _knock_over(self) -> None:
+        del self._timers["knock"]
+        self._look_done()
 
     def _shut(self) -> None:
-        """Nobody new comes any more."""
+        """Nobody new comes any more, and who is here goes with the next answer."""
+        self.closing = True
         if self._server is not None:
             self._server.close()
-        del self._timers["knock"]
         for visit in [*self.visits]:
             if visit.idle and not visit.within:
                 visit.end()
         self._look_done()
 
     def _look_done(self) -> None:
-        if self.leaving and not self.open and "knock" not in self._timers:
+        alone = self.closing or not (self.visits or "knock" in self._timers)
+        if self.leaving and alone and not self.open:
             asyncio.get_running_loop().call_soon(self._end, LEFT_CLEAN)
 
     def _end(self, code: int) -> None:
@@ -165,6 +181,12 @@
         """What has been silent for too long goes; nodes that are gone are forgotten."""
         now = self.rounds.clock()
         crowd = len(self.visits) > self.most_visits * 3 // 4
+        unsent = {visit: visit.unsent for visit in self.visits if visit.unsent}
+        while sum(unsent.values()) > self.room.most:
+            # Answers that wait for clients to take them would be the process's end, and everybody's.
+            slowest = max(unsent, key=unsent.__getitem__)
+            del unsent[slowest]
+            slowest.cut()
         for visit in [*self.visits]:
             if not visit.idle:
                 continue
@@ -192,7 +214,10 @@
         """A line now and then of what there is."""
         self.log(
             "counts",
-            answered=self.answered,
+            ok=self.finals[200],
+            rejected=self.finals[503],
+            errored=self.finals[502],
+            left=self.left,
             refused=self.refused,
             clients=len(self.visits),
             held=len(self.open),
@@ -220,15 +245,17 @@
         self.arrivals.spoke(visit)
         self.visits.pop(visit, None)
         if asked is not None:
+            self.left += 1
             self.open.pop(asked.call, None)
             self.rounds.leave(asked)
-            self._look_done()
+        self._look_done()
 
     def ask(self, visit: Visit, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
         asked = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
         if asked.call in self.open:
             raise Fault(409, "X-Call-Id: open already")
+        asked.give_up_ms = min(asked.give_up_ms, self._ends_at - ANSWER_MS)
         asked.visit = visit
         self.open[asked.call] = asked
         self.rounds.take(asked)
@@ -292,7 +319,7 @@
         """The one final answer."""
         self.open.pop(asked.call, None)
         visit, asked.visit, asked.body = asked.visit, None, None
-        self.answered += 1
+        self.finals[status] += 1
         if visit is not None and visit.open is asked:
             visit.answer(status, body, fields)
         self._look_done()
