Dead parameters and a doubled check taken out of the platform's door

Reread: Line's `wanted`, Link's log, Watch.heard and Platform.permits were never used, turn_out checked twice that the visit had not ended, limits were looked up twice.

--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -190,7 +190,7 @@
         if self._ended:
             self.cut()  # it does not take its last answer either
             return
-        if self._reader.within and self._transport is not None and not self._ended:
+        if self._reader.within and self._transport is not None:
             self._transport.write(answer(408, close=True))
         self.end()
 
--- a/cherrygrade/platform/discovery.py
+++ b/cherrygrade/platform/discovery.py
@@ -26,7 +26,7 @@
     """One connection to discovery. `told` is given each line, `over` once why it ended."""
 
     def __init__(self, address: str, since: int, told: Callable[[Any], None], over: Callable[[str], None]):
-        self.address, self.heard = address, False
+        self.address = address
         self._since, self._told, self._over = since, told, over
         self._buffer = memoryview(bytearray(BUFFER))
         self._line = bytearray()
@@ -85,7 +85,6 @@
             line = bytes(self._line[:at]).strip()
             del self._line[: at + 1]
             if line:
-                self.heard = True
                 self._told(json.loads(line))
 
     def on_message_complete(self) -> None:
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -30,7 +30,7 @@
 class Line(asyncio.BufferedProtocol):
     """One connection to a node."""
 
-    def __init__(self, link: Link, wanted: Out | None) -> None:
+    def __init__(self, link: Link) -> None:
         self.link = link
         self.out: Out | None = None
         self.ready = self.ended = False
@@ -153,10 +153,9 @@
         buffer: memoryview,
         connect_ms: float,
         idle_ms: float,
-        log: Callable[..., None],
     ) -> None:
         self.node, self.rounds, self.wheel, self.sockets, self.buffer = node, rounds, wheel, sockets, buffer
-        self.connect_ms, self.idle_ms, self.log = connect_ms, idle_ms, log
+        self.connect_ms, self.idle_ms = connect_ms, idle_ms
         self._dial = dial
         self.waiting: deque[Out] = deque()
         self.lines: dict[Line, None] = {}
@@ -180,7 +179,7 @@
                 continue
             self._begin(line, self.waiting.popleft())
         while len(self.waiting) > self.making and self.sockets.take():
-            line = Line(self, None)
+            line = Line(self)
             self.lines[line] = None
             self.making += 1
             task = asyncio.get_running_loop().create_task(self._connect(line))
--- a/cherrygrade/platform/orders.py
+++ b/cherrygrade/platform/orders.py
@@ -66,10 +66,10 @@
         number = int(seed, 16)
     except (TypeError, ValueError):
         raise OrdersError("seed: no hexadecimal number") from None
-    sockets = table("limits", told, {}).get("sockets", 1024)
+    limits = table("limits", told, {})
+    sockets, memory_mb = limits.get("sockets", 1024), limits.get("memory_mb", 192)
     if not isinstance(sockets, int) or sockets < 64:
         raise OrdersError("limits.sockets: less than the 64 that a dispatcher needs")
-    memory_mb = table("limits", told, {}).get("memory_mb", 192)
     if not isinstance(memory_mb, int) or memory_mb < 24:
         raise OrdersError("limits.memory_mb: less than the 24 that a dispatcher needs")
     pairs = StartPairs.nested(table("settings", told))
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -50,7 +50,7 @@
     ) -> None:
         self.orders, self.log, self.env = orders, log, env
         pairs = orders.pairs
-        self.workloads, self.plans, self.permits = pairs.workloads(), pairs.plans(), pairs.permits()
+        self.workloads, self.plans = pairs.workloads(), pairs.plans()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
         self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
         self.leaving = self.closing = False
@@ -290,7 +290,6 @@
                 self.buffer,
                 self.connect_ms,
                 self.idle_ms,
-                self.log,
             )
         out.until_ms = min(out.rpc.give_up_ms, out.sent_ms + limit_ms)
         out.slot = self.wheel.put(out, out.until_ms)
