Young nodes get their part at once; repeats of hasty clients stay due as they were

Change: Lane.cold begins empty for nodes younger than the dispatcher (Gate.begun); what is given up leaves its soft deadline, and a repeat is due no sooner.

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -114,7 +114,7 @@
 class Lane:
     """One node as this dispatcher uses it: two queues, share, reserved slots, window and health."""
 
-    def __init__(self, node: Node, now: float, tight: float, others: Lane | None = None) -> None:
+    def __init__(self, node: Node, now: float, tight: float, begun: float, others: Lane | None) -> None:
         self.node, self.tight, self.others = node, tight, others or self
         self.pressed: list[Job] = []
         self.batch: list[Job] = []
@@ -134,7 +134,8 @@
         self.told_at = -NEVER  # the keeper's newest word; how words name the node
         self.place = crc32(node.address.encode()) & 0xFFFF
         self.last_answer, self.errors, self.warm_from, self.struck_at = now, 0.0, -1e12, 0.0
-        self.cold = [(now, NEVER)]  # units sent in the span; a dispatcher before this one may have spent it
+        # Units sent in the span. A dispatcher before this one may have spent it, unless the node is younger.
+        self.cold = [(now, NEVER)] if node.born_ms <= begun else []
 
     def known(self, now: float) -> bool:
         """The keeper's word stands for what is seen here."""
@@ -328,7 +329,7 @@
     def __init__(self, number: int, dispatchers: int, part: float, cold: ColdStart,
                  budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
         self.number, self.dispatchers, self.part, self.cold = number, dispatchers, part, cold
-        self.budget, self.permits, self.key_rest_ms = budget, permits, key_rest_ms
+        self.budget, self.permits, self.key_rest_ms, self.begun = budget, permits, key_rest_ms, NEVER
         self.taken: deque[float] = deque()  # both drop what left the budget's span
         self.further: deque[float] = deque()
         self.turns: dict[str, deque[Job]] = {}  # ordered RPCs by key; a key goes when none is left
@@ -341,9 +342,7 @@
 
     def leave(self, job: Job) -> Sequence[Job]:
         """The RPC is over and nothing of it is out: the next of its key, told here, may go."""
-        turn = self.turns.get(job.rpc.key)
-        if turn is None:
-            return ()
+        turn = self.turns.get(job.rpc.key) or deque()
         if job in turn:
             turn.remove(job)
             if not turn:
@@ -355,6 +354,7 @@
             self.rests[send.rpc.key] = now + self.key_rest_ms
 
     def pass_time(self, now: float) -> None:
+        self.begun = min(self.begun, now)
         for times in (self.taken, self.further):
             while times and times[0] <= now - self.budget.span_ms:
                 times.popleft()
@@ -421,13 +421,13 @@
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
         self.tries: dict[str, float] = {}  # longest time given for a try; a workload each
-        self.ended: list[set[tuple[str, str]]] = [set(), set()]  # given up of late; each drops out in turn
+        self.ended: list[dict[tuple[str, str], float]] = [{}, {}]  # given up of late, its soft deadline
         self.volumes: dict[str, Volume] = {}
         self.jobs: dict[Rpc, Job] = {}
         self.lanes: dict[Node, Lane] = {}  # a machine each; dropped once gone with nothing left
         self.shards: dict[int, list[Lane]] = {}  # made anew from the lanes with each list
         # New objects that no node has credit for, and what no node in the list holds.
-        self.unplaced = Lane(Node("", standing=Standing.DRAINING), 0.0, self.tight)
+        self.unplaced = Lane(Node("", standing=Standing.DRAINING), 0.0, self.tight, 0.0, None)
         self.stirred: dict[Lane, None] = {}  # lanes that this round concerns; emptied by it
         self.dues: list[tuple[float, int, Lane]] = []  # one live entry a lane, old ones pass
         self.wakes: set[float] = set()  # asked for and to come: at most a grid's marks ahead
@@ -446,7 +446,7 @@
         self.list(now, heard, list_answered)
         self.before, self.now = self.now, now
         if now >= self.turn_at:
-            self.ended, self.turn_at = [set(), self.ended[0]], now + max(self.tries.values(), default=1000.0)
+            self.ended, self.turn_at = [{}, self.ended[0]], now + max(self.tries.values(), default=1000.0)
         for peer, word in words:
             self.hear(peer, word, now)
         for send in answers:
@@ -539,7 +539,7 @@
 
     def list(self, now: float, heard: Sequence[Node], answered: bool | None) -> None:
         for node in heard:
-            self.lanes.setdefault(node, Lane(node, now, self.tight, self.unplaced))
+            self.lanes.setdefault(node, Lane(node, now, self.tight, self.gate.begun, self.unplaced))
         if heard:  # what waits for a place or for a replacement looks again
             self.shards, self.places = {}, {}
             self.volumes = {name: vol for name, vol in self.volumes.items() if now - vol.seen < 60000.0}
@@ -566,11 +566,12 @@
         left = rpc.give_up_ms - now
         longest = self.tries[rpc.workload.name] = max(self.tries.get(rpc.workload.name, 0.0), left)
         # A repeat that is short of time is late since its first try. Else its client is in haste, and it lost
-        # no more than this dispatcher stood still. Unmarked, a repeat follows what was given up here.
-        given_up = any((rpc.volume, rpc.key) in ended for ended in self.ended)
-        first = not (rpc.repeat if self.permits.marks_repeats else given_up)
+        # no more than this dispatcher stood still. Unmarked, a repeat follows what was given up, and keeps
+        # its soft deadline where that is later: a client in haste comes again with little time left too.
+        was = max(ended.get((rpc.volume, rpc.key), -NEVER) for ended in self.ended)
+        first = not (rpc.repeat if self.permits.marks_repeats else was > -NEVER)
         spent = min(longest - left, now - self.before if first else NEVER)
-        job = self.jobs[rpc] = Job(rpc, volume, now, now + rpc.workload.soft_ms - spent)
+        job = self.jobs[rpc] = Job(rpc, volume, now, max(was, now + rpc.workload.soft_ms - spent))
         self.gate.take(job, now)
         self.place(job, now)
 
@@ -607,8 +608,7 @@
 
     def rank(self, job: Job, now: float) -> None:
         """Find what the RPC's units still earn, and so its side and its place there."""
-        rpc, volume, lane, workload = job.rpc, job.volume, job.lane, job.rpc.workload
-        plan = volume.plan
+        rpc, volume, lane, workload, plan = job.rpc, job.volume, job.lane, job.rpc.workload, job.volume.plan
         if not volume.reserve(rpc.units, workload.value / self.top):
             job.level = self.earnings.in_share if volume.shares(rpc.units) else self.earnings.beyond
         in_time = now + lane.expected(rpc.units) <= job.soft
@@ -707,7 +707,7 @@
 
     def give_up(self, job: Job, now: float, writer: Writer) -> None:
         """Answer at once, with a come-back time where one is heeded."""
-        self.ended[0].add((job.rpc.volume, job.rpc.key))
+        self.ended[0][job.rpc.volume, job.rpc.key] = job.soft
         if self.gate.may_reject(job.rpc):
             writer.reject(job.rpc, self.permits.come_back_ms)
         else:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,7 +5,7 @@
 import pytest
 from fakehost import EXPORT, READ, FakeHost
 
-from cherrygrade.interface import ColdStart, Earnings, Outcome, Permits, Plan, Standing
+from cherrygrade.interface import ColdStart, Earnings, Node, Outcome, Permits, Plan, Standing
 
 
 def answer_all(host):
@@ -66,6 +66,18 @@
     assert 6 <= most <= 12.0 * 2.0
 
 
+def test_a_node_that_started_in_this_dispatchers_life_gets_its_part_at_once():
+    # Nobody before this one can have sent to it; for a span it got nothing, from any of two hundred.
+    cold = ColdStart(units=12.0, share=0.25, multiple=3.0, span_ms=3000.0, warm_ms=13000.0)
+    host = FakeHost(cold=cold)
+    host.pass_time(500.0)
+    younger = Node("10.0.0.8:1", zone="z", shard=8, born_ms=host.now - 100.0)
+    older = Node("10.0.0.9:1", zone="z", shard=9, born_ms=host.now - 600.0)
+    host.round(heard=[younger, older])
+    host.take(host.rpc(shard=8), host.rpc(shard=9))
+    assert [send.node for send in host.sent] == [younger]
+
+
 def test_a_new_object_that_moves_to_a_node_and_cannot_go_is_answered_in_time():
     host = FakeHost()
     lane = host.dispatcher.lanes[host.nodes[0]]
@@ -185,6 +197,20 @@
     assert hasty.sends and host.dispatcher.jobs[hasty].pressed and not host.rejected
 
 
+def test_a_client_in_haste_that_comes_again_is_due_as_it_was():
+    # Told from a repeat by its key alone, it was taken to be late by all that a usual client leaves more.
+    host = FakeHost()
+    host.take(host.rpc(key="a"))
+    host.answer(host.sent[0])
+    host.pass_time(100.0)
+    host.take(host.rpc(key="k", shard=9, gives_up=60.0))
+    host.pass_time(60.0)
+    assert len(host.rejected) == 1
+    again = host.rpc(key="k", gives_up=60.0)
+    host.take(again)
+    assert again.sends and host.dispatcher.jobs[again].pressed
+
+
 def test_what_was_given_up_is_forgotten_in_time():
     host = FakeHost()
     for n in range(50):
