--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -9,13 +9,15 @@
 import asyncio
 import json
 import sys
+import time
+import zlib
 from pathlib import Path
 from typing import Annotated, Literal
 
 from cyclopts import App, Parameter
 
 from cherrygrade.records.load import RecordError, plain, read_site, read_vertex
-from cherrygrade.site import Site
+from cherrygrade.site import Origin, Site
 
 Form = Literal["json", "console", "none"]
 Given = Annotated[tuple[str, ...], Parameter(name="--with", consume_multiple=False, negative="")]
@@ -23,10 +25,24 @@
 app = App(name="cherrygrade", help="A storage gateway: schedules reads and writes over storage nodes.")
 standin = App(name="standin", help="Stand-ins for storage nodes and the register.")
 lab = App(name="lab", help="Scenarios, load and audit on loopback sockets.")
+fleet = App(name="fleet", help="Dispatchers that know each other: who is there, and what they take it for.")
+app.command(fleet)
 app.command(standin)
 app.command(lab)
 
 
+def origin_of(site: Site) -> Origin:
+    """This life, for the fleet."""
+    from importlib.metadata import PackageNotFoundError, version
+
+    try:
+        own = version("cherrygrade")
+    except PackageNotFoundError:
+        own = "?"
+    shared = (site.trade, site.bearings, site.place.dispatchers)
+    return Origin(int(time.time() * 1000.0), own, f"{zlib.crc32(repr(shared).encode()):08x}")
+
+
 def _site(file: Path, given: tuple[str, ...]) -> Site:
     try:
         return read_site(file, "\n".join(given))
@@ -70,6 +86,8 @@
             site.cuts,
             site.pace,
             site.words.places,
+            site.fleet,
+            origin_of(site),
         )
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
@@ -118,6 +136,27 @@
     return 0
 
 
+@fleet.command(name="status")
+def fleet_status(
+    place: str = "127.0.0.1:7500", *, as_json: Annotated[bool, Parameter(name="--json")] = False
+) -> int:
+    """Show the fleet as the dispatcher at PLACE (its fleet.place) knows it.
+
+    Exit code 0: all of the fleet of record live and are known alike here; 1: not so; 3: nobody told.
+    """
+    from cherrygrade.fleet.show import status
+
+    return status(place, as_json)
+
+
+@fleet.command(name="watch")
+def fleet_watch(place: str = "127.0.0.1:7500", *, every_s: float = 1.0, times: int = 0) -> int:
+    """Show it again and again, until interrupted or so many times."""
+    from cherrygrade.fleet.show import watch
+
+    return watch(place, every_s, times)
+
+
 @standin.command(name="node")
 def standin_node(
     *,
--- /dev/null
+++ b/cherrygrade/fleet/company.py
@@ -0,0 +1,29 @@
+"""The fleet as the module asks for it: who keeps a node, and whether its own parts are its own.
+
+Free of I/O, clock and chance; `core.py` knows, this tells it in the module's terms.
+"""
+
+from __future__ import annotations
+
+from cherrygrade.fleet.core import Core
+from cherrygrade.interface import Company
+
+
+class Fellows(Company):
+    """Seats are the dispatchers' numbers."""
+
+    def __init__(self, core: Core, number: int) -> None:
+        super().__init__(core.record)
+        self.core, self.number = core, number
+
+    @property
+    def yields(self) -> bool:  # type: ignore[override]
+        return self.core.yields
+
+    def keeper(self, node: int) -> int:
+        return self.core.keepers.keeper(node)
+
+    def tells(self, node: int, now: float) -> bool:
+        """One that is alone, or late with everything, leaves telling to others: sides.TABLE."""
+        keepers = self.core.keepers
+        return self.core.follows.keeps and keepers.keeper(node) == self.number and keepers.settled(node, now)
--- /dev/null
+++ b/cherrygrade/fleet/core.py
@@ -0,0 +1,379 @@
+"""The fleet as one dispatcher takes part in it: pages and time in, pages out.
+
+Free of I/O, clock and chance: the same code plays in thousands in one process and alone in one dispatcher
+(`party.py`). Times are ms of any one clock; births are Unix ms.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from cherrygrade.fleet import seats
+from cherrygrade.fleet.keepers import Keepers
+from cherrygrade.fleet.pages import Answer, Any_, Ask, Carried, Page, Probe, Push, Spoken
+from cherrygrade.fleet.probing import DIRECT_MS, HELPERS, STALL_MS, Does, Probing
+from cherrygrade.fleet.roll import Claim, Facts, Member, Roll, Standing, sound
+from cherrygrade.fleet.seen import Seen
+from cherrygrade.fleet.sides import ALONE_MS, TABLE, Follows, Side, side
+from cherrygrade.fleet.telling import FAN, Exchanges, News
+
+KEEP_MS = 600_000.0  # the dead are remembered so long
+CONTACT_MS = 500.0  # between two tries of a contact, while nobody is known
+FAR_MS = 10_000.0  # and once somebody is: a contact may stand among those cut off
+HELP_MS = 1000.0  # what is probed for others is forgotten after this
+MOST_HELP = 256
+SET_WRONG_MS = 86_400_000.0  # that a clock may go ahead of this one's; who is born later yet is made up
+WORDS_A_S = 400  # of one member's words; the rest is dropped
+
+
+@dataclass(slots=True)
+class Mail:
+    """What a call comes to: pages to places; with whom to exchange rolls; words for the module, by seat."""
+
+    pages: list[tuple[str, Any_]] = field(default_factory=list)
+    answers: list[Any_] = field(default_factory=list)
+    """Go back to where the page came from."""
+    exchange: list[tuple[str, str]] = field(default_factory=list)
+    words: list[tuple[int, bytes]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Help:
+    """A probe made for another: whose, under which number; `place`: where it waits."""
+
+    asker: str
+    number: int
+    target: str
+    at: float
+    place: str
+    denied: bool = False
+
+
+class Core:
+    """`helps` is emptied by answers and by time, `talk` with the members. `record`: dispatchers of the
+    fleet as the settings have it; nothing that is heard changes it."""
+
+    def __init__(
+        self,
+        name: str,
+        birth: int,
+        facts: Facts,
+        record: int,
+        contacts: Iterable[str],
+        seed: int,
+        now: float,
+        period_ms: float = 400.0,
+        keep_ms: float = KEEP_MS,
+    ) -> None:
+        self.name, self.birth, self.record, self.seed = name, birth, record, seed
+        self.begun = now
+        self.contacts = [place for place in contacts if place != facts.place]
+        me = Claim(name, birth, 0, Standing.ALIVE, facts)
+        self.roll = Roll(me, now, max(64, 4 * record), keep_ms)
+        self.probing = Probing(self.roll, seed, now, period_ms)
+        self.news, self.exchanges, self.seen = News(), Exchanges(), Seen()
+        self.keepers = Keepers([facts.seat])
+        self.place, self.zone = facts.place, facts.zone
+        self.superseded = ""  # who else, born later, has this name: then this one is silent
+        self.left = False
+        self.yielded_to = ""
+        self.side = Side.MOST if record <= 1 else Side.ALONE
+        self.refuted = self.overheard = 0
+        self.helps: dict[int, Help] = {}
+        self.talk: dict[str, tuple[float, int]] = {}
+        self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
+        self._seen_changes = -1
+        self._contact_at = now
+        self._forget_at = now + 1000.0
+        self._contacted = 0
+        self.news.add(name, now)
+
+    # What others ask of it.
+
+    @property
+    def yields(self) -> bool:
+        """Its seat is another's: it uses no part of cold nodes and limits."""
+        return bool(self.superseded or self.yielded_to)
+
+    @property
+    def follows(self) -> Follows:
+        return TABLE[self.side]
+
+    @property
+    def silent(self) -> bool:
+        return self.left or bool(self.superseded)
+
+    def due(self) -> float:
+        """When the next beat is wanted."""
+        if self.silent:
+            return 1e15
+        at = min(self.probing.due(), self.news.push_at, self._contact_at, self._forget_at)
+        return min([at, *(help_.at + DIRECT_MS for help_ in self.helps.values() if not help_.denied)])
+
+    def whole(self) -> list[Claim]:
+        """Its whole roll, for an exchange."""
+        return [member.claim() for member in self.roll]
+
+    # What comes in.
+
+    def hear(self, page: Any_, place: str, now: float) -> Mail:
+        """A datagram came, from this place."""
+        mail = Mail()
+        if self.silent or page.name == self.name:
+            self.overheard += 1
+            return mail
+        speaker = self.roll.members.get(page.name)
+        if speaker is not None and speaker.birth == page.birth:
+            self.probing.spoke(speaker, now)
+        else:
+            self.probing.heard_at = now
+        if not isinstance(page, Spoken | Carried):
+            self._join(page.news, page.name, now)
+        if isinstance(page, Probe):
+            answer = Answer(self.name, self.birth, page.number, self.roll.digest, self._carry(page.name), [])
+            mail.answers.append(answer)
+            self._compare(page, place, now, mail)
+            self._met(page, now)
+        elif isinstance(page, Answer):
+            self._answered(page, place, now, mail)
+        elif isinstance(page, Ask):
+            self._help(page, place, now, mail)
+        elif isinstance(page, Carried):
+            if not page.denied:
+                self._lift(page.target, now)
+                self.probing.answered(page.target, page.number)
+        elif isinstance(page, Spoken):
+            self._word(page, speaker, now, mail)
+        self._look(now)
+        return mail
+
+    def exchanged(self, claims: list[Claim], by: str, now: float) -> None:
+        """A whole roll came by a stream. A newcomer keeps to itself what all others know."""
+        newcomer = len(self.roll.others()) <= 1
+        changed = self._join(claims, by, now)
+        if newcomer:
+            for name in changed:
+                self.news.items.pop(name, None)
+                self.news.fresh.discard(name)
+        self._look(now)
+
+    def sent(self, node: int, how: str, now: float) -> None:
+        """How a send of the module's ended at a node."""
+        self.seen.sent(node, how, now)
+
+    def tell(self, seat: int | None, payload: bytes) -> Mail:
+        """A word of the module: to whoever holds the seat, or to all."""
+        mail = Mail()
+        own = self.roll.own
+        if self.silent or own.seat < 0:
+            return mail
+        page = Spoken(self.name, self.birth, own.seat, payload)
+        if seat is None:
+            mail.pages += [(one.facts.place, page) for one in self.roll.others() if one.facts]
+        else:
+            found = seats.holder(self.roll, seat)
+            if found is not None and found.name != self.name and found.facts is not None:
+                mail.pages.append((found.facts.place, page))
+        return mail
+
+    def leave(self, now: float) -> Mail:
+        """It goes by its own will: told to some, and what they do not hear is found out by probes."""
+        mail = Mail()
+        own = self.roll.own
+        if self.silent:
+            return mail
+        claim = Claim(self.name, self.birth, own.turn + 1, Standing.LEFT, own.facts)
+        others = self.probing.some([one.name for one in self.roll.others()], 3 * FAN)
+        page = Push(self.name, self.birth, [claim])
+        for name in others:
+            facts = self.roll.members[name].facts
+            if facts is not None:
+                mail.pages.append((facts.place, page))
+        self.left = True
+        return mail
+
+    # Time.
+
+    def beat(self, now: float) -> Mail:
+        """What is due."""
+        mail = Mail()
+        if self.silent:
+            return mail
+        does = self.probing.beat(now)
+        for name in does.news:
+            self.news.add(name, now)
+        self._probe(does, mail, now)
+        for help_ in self.helps.values():
+            if not help_.denied and now >= help_.at + DIRECT_MS:
+                help_.denied = True
+                no = Carried(self.name, self.birth, help_.number, help_.target, True)
+                mail.pages.append((help_.place, no))
+        for load in self.news.push(self.roll, now):
+            names = self.probing.some([one.name for one in self.roll.others()], FAN)
+            for name in names:
+                facts = self.roll.members[name].facts
+                if facts is not None:
+                    mail.pages.append((facts.place, Push(self.name, self.birth, load)))
+        if now >= self._contact_at:
+            self._contact(mail, now)
+        if now >= self._forget_at:
+            self._forget(now)
+        self._look(now)
+        return mail
+
+    # Its own.
+
+    def _number(self) -> int:
+        self._numbers = (self._numbers + 1) & 0x7FFFFFFF
+        return self._numbers
+
+    def _carry(self, hearer: str) -> list[Claim]:
+        """News for a hearer: before all what is said against itself, so that it can speak for itself."""
+        member = self.roll.members.get(hearer)
+        against = [hearer] if member is not None and member.standing > Standing.ALIVE else []
+        return self.news.pick(self.roll, first=against)
+
+    def _probe(self, does: Does, mail: Mail, now: float) -> None:
+        met = self.seen.digest(now) if does.probe else []
+        for member, number in does.probe:
+            if member.facts is not None:
+                news = self._carry(member.name)
+                page = Probe(self.name, self.birth, number, self.roll.digest, news, met)
+                mail.pages.append((member.facts.place, page))
+        for helper, target, number in does.ask:
+            if helper.facts is not None and target.facts is not None:
+                ask = Ask(self.name, self.birth, number, target.claim(False), target.facts.place)
+                mail.pages.append((helper.facts.place, ask))
+
+    def _contact(self, mail: Mail, now: float) -> None:
+        """Contact points are probed without being known, often while nobody else is."""
+        near = len(self.roll.others()) == 0
+        chance = crc32(f"{self.seed}:contact:{self._contacted}".encode()) / 2.0**32
+        self._contact_at = now + (CONTACT_MS if near else FAR_MS) * (0.75 + 0.5 * chance)
+        if self.contacts:
+            place = self.contacts[self._contacted % len(self.contacts)]
+            self._contacted += 1
+            known = {one.facts.place for one in self.roll.others() if one.facts is not None}
+            if place not in known:
+                page = Probe(self.name, self.birth, self._number(), self.roll.digest, [self.roll.own.claim()])
+                mail.pages.append((place, page))
+
+    def _join(self, claims: list[Claim], by: str, now: float) -> list[str]:
+        """Claims as one with the roll; gives what was news."""
+        changed = []
+        latest = self.birth + (now - self.begun) + SET_WRONG_MS
+        for claim in claims:
+            if not sound(claim) or claim.birth > latest:
+                self.overheard += 1
+            elif claim.name == self.name:
+                self._of_itself(claim, now)
+            else:
+                news = self.roll.hear(claim, now, by)
+                if self.probing.heard(claim, now) or news:
+                    changed.append(claim.name)
+                    self.news.add(claim.name, now)
+        return changed
+
+    def _of_itself(self, claim: Claim, now: float) -> None:
+        """What others say of this one. It alone lifts a suspicion of itself, by a higher turn."""
+        own = self.roll.own
+        if claim.birth > self.birth:
+            if claim.facts is not None and claim.facts.place != self.place:
+                self.superseded = f"{claim.name} at {claim.facts.place}, born later"
+            elif claim.facts is not None:  # its own life before, by a clock that was set back since
+                self.birth = claim.birth + 1
+                self.roll.hear(Claim(self.name, self.birth, 0, Standing.ALIVE, own.facts), now, self.name)
+                self.news.add(self.name, now)
+        elif claim.birth == self.birth and claim.standing > Standing.ALIVE and claim.turn >= own.turn:
+            self.refuted += 1
+            if claim.standing == Standing.SUSPECT:
+                self.probing.accused_here()
+            self.roll.raise_turn(claim.turn, now)
+            self.news.add(self.name, now)
+
+    def _compare(self, page: Probe | Answer, place: str, now: float, mail: Mail) -> None:
+        member = self.roll.members.get(page.name)
+        stranger = member is None or member.birth < page.birth or not member.living
+        equal = page.digest == self.roll.digest
+        # Who is asked by a stranger leaves it to that one; else the name that sorts first begins.
+        begins = isinstance(page, Answer) if stranger else self.name < page.name
+        if stranger and begins and now >= self.exchanges.next_at:
+            self.exchanges.next_at = now + 200.0
+            mail.exchange.append((page.name, place))
+        elif not stranger and self.exchanges.heard(page.name, equal, now) and member and member.facts:
+            mail.exchange.append((page.name, member.facts.place))
+
+    def _met(self, page: Probe | Answer, now: float) -> None:
+        member = self.roll.members.get(page.name)
+        if page.met and member is not None and member.facts is not None:
+            self.seen.hear(page.name, member.facts.zone, page.met, now)
+
+    def _answered(self, page: Answer, place: str, now: float, mail: Mail) -> None:
+        help_ = self.helps.pop(page.number, None)
+        if help_ is not None and help_.target == page.name:
+            mail.pages.append((help_.place, Carried(self.name, self.birth, help_.number, help_.target)))
+        else:
+            self.probing.answered(page.name, page.number)
+        self._compare(page, place, now, mail)
+        self._met(page, now)
+
+    def _help(self, ask: Ask, place: str, now: float, mail: Mail) -> None:
+        """Probe for another. The place is what the asker says: its claim is not taken for more than that."""
+        if len(self.helps) >= MOST_HELP or ask.target.name == self.name:
+            return
+        number = self._number()
+        self.helps[number] = Help(ask.name, ask.number, ask.target.name, now, place)
+        known = self.roll.members.get(ask.target.name)
+        at = known.facts.place if known is not None and known.facts is not None else ask.place
+        news = [ask.target] if ask.target.standing > Standing.ALIVE else []
+        mail.pages.append((at, Probe(self.name, self.birth, number, self.roll.digest, news)))
+
+    def _lift(self, name: str, now: float) -> None:
+        """Another heard the member itself."""
+        member = self.roll.members.get(name)
+        if member is not None:
+            member.heard = max(member.heard, now - DIRECT_MS)
+
+    def _word(self, page: Spoken, speaker: Member | None, now: float, mail: Mail) -> None:
+        """Only whoever holds the seat speaks for it, and not without end."""
+        if speaker is None or not speaker.living or speaker.birth != page.birth or page.seat < 0:
+            self.overheard += 1
+            return
+        if seats.holder(self.roll, page.seat) is not speaker:
+            self.overheard += 1
+            return
+        second, count = self.talk.get(page.name, (0.0, 0))
+        second, count = (second, count + 1) if now < second + 1000.0 else (now, 1)
+        self.talk[page.name] = (second, count)
+        if count <= WORDS_A_S:
+            mail.words.append((page.seat, page.payload))
+        else:
+            self.overheard += 1
+
+    def _forget(self, now: float) -> None:
+        self._forget_at = now + 1000.0
+        self.roll.forget(now)
+        living = {one.name for one in self.roll if one.living}
+        self.exchanges.forget(living)
+        self.seen.forget(living, now)
+        self.talk = {name: one for name, one in self.talk.items() if name in living}
+        self.helps = {number: one for number, one in self.helps.items() if now < one.at + HELP_MS}
+
+    def _look(self, now: float) -> None:
+        """What follows from all that is known now."""
+        others = self.roll.others()
+        heard_ago = now - self.probing.heard_at if others else ALONE_MS
+        self.side = side(self.record, len(others) + 1, heard_ago, self.probing.doubt)
+        if self._seen_changes == self.roll.changes or self.silent:
+            return
+        self._seen_changes = self.roll.changes
+        if not self.yielded_to and (to := seats.yields(self.roll)):
+            self.yielded_to = to
+            self.roll.raise_turn(self.roll.own.turn, now, seat=-1)
+            self.news.add(self.name, now)
+        self.keepers.living((one.seat for one in self.roll if one.living and one.seat >= 0), now)
+
+
+__all__ = ["HELPERS", "STALL_MS", "Core", "Mail", "Page"]
--- /dev/null
+++ b/cherrygrade/fleet/party.py
@@ -0,0 +1,324 @@
+"""The fleet's sockets: datagrams for pages, streams for whole rolls and for people who ask, one timer.
+
+Nothing is decided here; `core.py` says what goes where. A datagram that can't be sent is lost, as on any way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any
+from zlib import crc32
+
+import msgspec
+
+from cherrygrade.fleet.core import Core, Mail
+from cherrygrade.fleet.pages import MOST_PAGE, Any_, Book, Probe
+from cherrygrade.fleet.roll import Claim, Facts
+from cherrygrade.fleet.sides import TABLE
+from cherrygrade.interface import Outcome, Send
+from cherrygrade.site import Fleet, Origin
+from cherrygrade.transport.connection import Connection
+from cherrygrade.transport.listening import listen
+from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
+
+EXCHANGE_S = 2.0
+MOST_STREAMS = 16  # that came in and have not ended
+AT_ONCE = 64  # claims in one frame
+MOST_FRAMES = 64
+GRAIN_S = 0.005  # a beat may come so late; what is due within it goes with it
+
+MET = {
+    Outcome.OK: "answered",
+    Outcome.FULL: "answered",
+    Outcome.ERRORED: "errored",
+    Outcome.RESET: "errored",
+    Outcome.UNCONNECTED: "silent",
+    Outcome.TIMED_OUT: "silent",
+}
+
+_claims = msgspec.msgpack.Decoder(list[Claim])
+
+
+def address(place: str) -> tuple[str, int] | None:
+    """Where a member says it is; None where no datagram can go: names are not looked up for anybody's
+    word."""
+    host, _, port = place.rpartition(":")
+    try:
+        return str(ipaddress.ip_address(host)), int(port)
+    except ValueError:
+        return None
+
+
+class Party:
+    """One dispatcher's part. `streams` end by themselves or by time; nothing else here grows."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        seat: int,
+        record: int,
+        seed: int,
+        origin: Origin,
+        clock: Callable[[], float],
+        heard: Callable[[int, bytes], None],
+        log: Callable[..., None],
+    ) -> None:
+        self.fleet, self.name, self.record, self.clock = fleet, name, record, clock
+        self._heard, self._log = heard, log
+        self.book = Book(fleet.name)
+        own = Facts(fleet.place, fleet.zone, origin.version, origin.settings, seat)
+        self.core = Core(
+            name, origin.birth, own, record, fleet.contacts, seed, clock(), fleet.period_ms, fleet.keep_ms
+        )
+        self.sent = self.sent_bytes = self.got = self.got_bytes = self.unsent = 0
+        self.streams: dict[Stream, None] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._shown: tuple[object, ...] = ()
+
+    async def start(self) -> None:
+        host, _, port = (self.fleet.bind or self.fleet.place).rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: Ear(self), local_addr=(host, int(port))
+        )
+        self._server = await listen(lambda: Stream(self).conn, f"{host}:{port}", MOST_STREAMS)
+        self._beat()
+
+    # What the dispatcher calls.
+
+    def tell(self, peer: int | None, payload: bytes) -> None:
+        self._post(self.core.tell(peer, payload))
+
+    def met(self, send: Send) -> None:
+        """How a send ended, for what the fleet makes of its node. What never left tells nothing."""
+        how = MET.get(send.outcome) if send.outcome is not None else None
+        if how is not None:
+            self.core.sent(crc32(send.node.address.encode()) & 0xFFFF, how, self.clock())
+
+    def leave(self) -> None:
+        self._post(self.core.leave(self.clock()))
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+        for stream in [*self.streams]:
+            stream.conn.close("dispatcher leaves")
+
+    def status(self) -> dict[str, Any]:
+        """What a person on call is shown."""
+        core, now = self.core, self.clock()
+        members = []
+        for one in sorted(core.roll, key=lambda one: one.name):
+            facts = one.facts or Facts("")
+            members.append(
+                {
+                    "name": one.name,
+                    "standing": one.standing.name.lower(),
+                    "for_ms": round(now - one.since),
+                    "by": one.by,
+                    "heard_ms_ago": round(now - one.heard) if one.heard > 0.0 else None,
+                    "birth": one.birth,
+                    "turn": one.turn,
+                    "place": facts.place,
+                    "zone": facts.zone,
+                    "version": facts.version,
+                    "settings": facts.settings,
+                    "seat": facts.seat,
+                }
+            )
+        return {
+            "name": core.name,
+            "fleet": self.fleet.name,
+            "side": core.side.value,
+            "does": asdict(TABLE[core.side]),
+            "record": core.record,
+            "living": len(core.roll.living()),
+            "digest": f"{core.roll.digest:016x}",
+            "doubt": core.probing.doubt,
+            "yields": core.superseded or core.yielded_to,
+            "counts": self.counts(),
+            "members": members,
+        }
+
+    def counts(self) -> dict[str, int]:
+        core = self.core
+        return {
+            "sent": self.sent,
+            "sent_bytes": self.sent_bytes,
+            "got": self.got,
+            "got_bytes": self.got_bytes,
+            "unsent": self.unsent,
+            "overheard": core.overheard,
+            "accusations": core.probing.accusations,
+            "deaths": core.probing.deaths,
+            "refuted": core.refuted,
+            "stalls": core.probing.stalls,
+            **{f"dropped_{why.replace(' ', '_')}": count for why, count in sorted(self.book.wrong.items())},
+        }
+
+    # What sockets bring.
+
+    def came(self, data: bytes, source: tuple[str, int]) -> None:
+        self.got, self.got_bytes = self.got + 1, self.got_bytes + len(data)
+        page = self.book.read(data)
+        if page is not None:
+            mail = self.core.hear(page, f"{source[0]}:{source[1]}", self.clock())
+            self._post(mail, source, len(data))
+
+    def _beat(self) -> None:
+        self._timer = None
+        self._post(self.core.beat(self.clock() + GRAIN_S * 1000.0))
+
+    def _post(self, mail: Mail, source: tuple[str, int] | None = None, length: int = MOST_PAGE) -> None:
+        for place, page in mail.pages:
+            self._send(page, address(place), MOST_PAGE)
+        for page in mail.answers:
+            self._send(page, source, length)
+        for name, place in mail.exchange:
+            self._exchange(name, place)
+        for seat, payload in mail.words:
+            self._heard(seat, payload)
+        self._show()
+        at = self.core.due()
+        if at < 1e14 and (self._timer is None or at < self._timer_at - 1.0):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_at = at
+            self._timer = asyncio.get_running_loop().call_at(max(at, self.clock()) / 1000.0, self._beat)
+
+    def _send(self, page: Any_, to: tuple[str, int] | None, most: int) -> None:
+        if to is None or self._transport is None or self._transport.is_closing():
+            self.unsent += 1
+            return
+        data = self.book.write(page, most if not isinstance(page, Probe) else MOST_PAGE)
+        if len(data) > most:
+            self.unsent += 1
+            return
+        self._transport.sendto(data, to)
+        self.sent, self.sent_bytes = self.sent + 1, self.sent_bytes + len(data)
+
+    def _exchange(self, name: str, place: str) -> None:
+        to = address(place)
+        if to is not None and len(self.streams) < MOST_STREAMS:
+            stream = Stream(self, name)
+            stream.task = asyncio.get_running_loop().create_task(stream.connect(to))
+
+    def _show(self) -> None:
+        """A line where what this dispatcher takes itself for changed."""
+        core = self.core
+        shown = (core.side, core.superseded, core.yielded_to)
+        if shown != self._shown:
+            self._shown = shown
+            facts: dict[str, Any] = {"living": len(core.roll.living()), "record": core.record}
+            if core.superseded or core.yielded_to:
+                facts["seat_is_of"] = core.superseded or core.yielded_to
+            self._log("fleet side", side=core.side.value, **facts)
+
+
+class Ear(asyncio.DatagramProtocol):
+    def __init__(self, party: Party) -> None:
+        self.party = party
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.party.came(data, (addr[0], addr[1]))
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # a place where nobody listens: found out by silence, as everywhere
+
+
+class Stream:
+    """One exchange of whole rolls, begun here (`to`) or there; or a person's question."""
+
+    def __init__(self, party: Party, to: str = "") -> None:
+        self.party, self.to = party, to
+        self.task: asyncio.Task[None] | None = None
+        self.conn = Connection(self, 0)
+        self.peer = ""
+        self._claims: list[Claim] = []
+        self._frames = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def connect(self, to: tuple[str, int]) -> None:
+        host = (self.party.fleet.bind or self.party.fleet.place).rpartition(":")[0]
+        try:
+            async with asyncio.timeout(EXCHANGE_S):
+                loop = asyncio.get_running_loop()
+                await loop.create_connection(lambda: self.conn, *to, local_addr=(host, 0))
+        except OSError:
+            self.party.streams.pop(self, None)
+
+    def connected(self, conn: Connection) -> None:
+        if len(self.party.streams) >= MOST_STREAMS:
+            conn.close("too many at once")
+            return
+        self.party.streams[self] = None
+        self._timer = asyncio.get_running_loop().call_later(EXCHANGE_S, conn.abort, "no exchange in time")
+        if self.to:
+            conn.send(Hello(VERSION, "member", self.party.name, [self.party.fleet.name]))
+            self._say()
+
+    def _say(self) -> None:
+        claims = self.party.core.whole()
+        loads = [claims[at : at + AT_ONCE] for at in range(0, len(claims), AT_ONCE)]
+        for index, load in enumerate(loads):
+            self.conn.send(Members(msgspec.msgpack.encode(load), index == len(loads) - 1))
+
+    def room(self, conn: Connection, message: Any, length: int) -> None:
+        return None
+
+    def frame(self, conn: Connection, message: Any, body: object) -> None:
+        if isinstance(message, Hello) and not self.to and not self.peer:
+            if message.role == "person":
+                data = json.dumps(self.party.status()).encode()
+                conn.send(Welcome(VERSION, self.party.name))
+                for at in range(0, len(data), 8192):
+                    conn.send(Members(data[at : at + 8192], at + 8192 >= len(data)))
+            elif message.role == "member" and message.features[:1] == [self.party.fleet.name]:
+                self.peer = message.name
+                conn.send(Welcome(VERSION, self.party.name))
+            else:
+                conn.close(f"not of this fleet: {message.role} {message.features[:1]}"[:200])
+        elif isinstance(message, Welcome) and self.to and not self.peer:
+            self.peer = message.name
+        elif isinstance(message, Members) and self.peer:
+            self._members(message)
+        elif not isinstance(message, Bye):
+            conn.close(f"unexpected {type(message).__name__} from a member")
+
+    def _members(self, message: Members) -> None:
+        self._frames += 1
+        try:
+            self._claims += _claims.decode(message.payload)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            self.conn.close("claims that can't be read")
+            return
+        if self._frames > MOST_FRAMES:
+            self.conn.close("too many claims")
+        elif message.last:
+            if not self.to:
+                self._say()
+            self.party.core.exchanged(self._claims, self.peer, self.party.clock())
+            self.party._post(Mail())
+            self._claims = []
+            if self.to:
+                self.conn.close("exchanged")
+
+    def writable(self, conn: Connection) -> None:
+        pass
+
+    def closed(self, conn: Connection, why: str) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.party.streams.pop(self, None)
--- /dev/null
+++ b/cherrygrade/fleet/probing.py
@@ -0,0 +1,227 @@
+"""Who is probed when, who is suspect, and who has failed.
+
+In the manner of SWIM (Das, Gupta, Motivala 2002): each period one member is probed, all in a shuffled
+order before any again; one that does not answer is asked for through others, and only then suspect; a
+suspicion that nobody lifts becomes a death. With what Lifeguard adds (Dadgar, Phillips, Currey 2017): a
+doubt in oneself that stretches all patience, helpers that say when they got no answer either, suspicion
+that shortens as others come to it on their own, and a word to the suspect itself in each datagram it gets.
+
+Kept: all of these. Changed: the load of a period is one probe whatever the fleet's size; the least patience
+outlasts a stall of STALL_MS, which must kill nobody, so it does not grow with the fleet, and a word that
+lifts a suspicion is pushed rather than left to the next probe (telling.py).
+
+Free of I/O, clock and chance: what varies comes from a seed and a counter.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import log
+from zlib import crc32
+
+from cherrygrade.fleet.roll import Claim, Member, Roll, Standing
+
+PERIOD_MS = 400.0
+DIRECT_MS = 150.0  # for the member's own answer, before others are asked
+HELPERS = 3
+STALL_MS = 2000.0  # a member that stands still for so long is not to be called dead
+LEAST_MS, LONGEST_MS = 2300.0, 4000.0  # from suspicion to death: with and without others that confirm it
+CONFIRM = 2  # others that shorten it all the way
+MOST_DOUBT = 8
+LATE_MS = 300.0  # a beat so much too late: this process stood still
+KNOCK_MS = 700.0  # one of the dead is tried this often: it may only have been cut off
+
+
+@dataclass(slots=True)
+class Out:
+    """A probe that is out."""
+
+    name: str
+    birth: int
+    number: int
+    at: float
+    asked: bool = False
+
+
+@dataclass(slots=True)
+class Does:
+    """What comes of a beat: whom to probe, by which number; whom to ask for it; of whom there is news."""
+
+    probe: list[tuple[Member, int]] = field(default_factory=list)
+    ask: list[tuple[Member, Member, int]] = field(default_factory=list)
+    news: list[str] = field(default_factory=list)
+
+
+class Probing:
+    """`order` is what is left of this round; `suspects` hold when each is due, and lose who dies or is
+    lifted."""
+
+    def __init__(self, roll: Roll, seed: int, now: float, period_ms: float = PERIOD_MS) -> None:
+        self.roll, self.seed, self.period_ms = roll, seed, period_ms
+        self.doubt = 0
+        self.order: list[str] = []
+        self.out: Out | None = None
+        self.suspects: dict[str, float] = {}
+        self.count = self.accusations = self.deaths = self.stalls = 0
+        self.next_at = now + self._chance() * period_ms
+        self.knock_at = now + KNOCK_MS
+        self.heard_at = now  # when anybody spoke
+        self.wanted = now  # when the last beat asked for the next
+
+    def _chance(self) -> float:
+        self.count += 1
+        return crc32(f"{self.seed}:{self.count}".encode()) / 2.0**32
+
+    def shuffle(self, names: list[str]) -> list[str]:
+        """In an order of this member's own, another each time."""
+        self.count += 1
+        return sorted(names, key=lambda name: crc32(f"{self.seed}:{self.count}:{name}".encode()))
+
+    def some(self, names: list[str], most: int) -> list[str]:
+        """So many of them by chance, each once."""
+        found: dict[str, None] = {}
+        if len(names) <= most:
+            return names
+        while len(found) < most:
+            found[names[int(self._chance() * len(names))]] = None
+        return [*found]
+
+    def due(self) -> float:
+        """When the next beat is wanted."""
+        at = min([self.next_at, self.knock_at, *self.suspects.values()])
+        if self.out is not None and not self.out.asked:
+            at = min(at, self.out.at + self.patience(DIRECT_MS))
+        return at
+
+    def patience(self, ms: float) -> float:
+        return ms * (1.0 + self.doubt / MOST_DOUBT)
+
+    # What comes in.
+
+    def spoke(self, member: Member, now: float) -> None:
+        """Anything came from the member itself."""
+        member.heard = self.heard_at = now
+
+    def answered(self, name: str, number: int) -> None:
+        """The probe with this number came back, straight or through another."""
+        if self.out is not None and (self.out.number, self.out.name) == (number, name):
+            self.out = None
+            self.doubt = max(0, self.doubt - 1)
+
+    def accused_here(self) -> None:
+        """Somebody called this member suspect: it must have been slow."""
+        self.doubt = min(MOST_DOUBT, self.doubt + 1)
+
+    def heard(self, claim: Claim, now: float) -> bool:
+        """A claim of a member was joined to the roll: what suspicion makes of it. Whether somebody else
+        came to it on their own, which is worth telling."""
+        member = self.roll.members.get(claim.name)
+        if member is None or member.name == self.roll.me:
+            return False
+        if member.standing is not Standing.SUSPECT:
+            self.suspects.pop(member.name, None)
+            return False
+        fits = (claim.birth, claim.turn, claim.standing) == (member.birth, member.turn, Standing.SUSPECT)
+        known = member.witnesses
+        more = bool(fits and claim.by and claim.by not in known and len(known) <= CONFIRM)
+        if more:
+            member.witnesses.append(claim.by)
+        ends = member.since + self.suspicion(len(member.witnesses))
+        self.suspects[member.name] = min(self.suspects.get(member.name, 1e15), ends)
+        return more
+
+    def suspicion(self, witnesses: int) -> float:
+        """Patience with a suspect, by how many came to it on their own (Lifeguard's formula)."""
+        others = min(CONFIRM, max(0, len(self.roll.others()) - 1))
+        part = log(max(1, witnesses)) / log(others + 1) if others else 1.0
+        return max(LEAST_MS, LONGEST_MS - (LONGEST_MS - LEAST_MS) * min(1.0, part))
+
+    # The beat.
+
+    def beat(self, now: float) -> Does:
+        """All that is due."""
+        does = Does()
+        if now - self.wanted > LATE_MS:
+            self._stood_still(now - self.wanted, now)
+        if self.out is not None and not self.out.asked and now >= self.out.at + self.patience(DIRECT_MS):
+            self._ask(self.out, does)
+        if now >= self.next_at:
+            self._end_period(now, does)
+            self._begin_period(now, does)
+        if now >= self.knock_at:
+            self._knock(now, does)
+        self._bury(now, does)
+        self.wanted = max(now, self.due())
+        return does
+
+    def _stood_still(self, late: float, now: float) -> None:
+        """This process did not run: what it waited for may lie unread, so it accuses nobody of silence, and
+        whoever was suspect gets the time again that it stood."""
+        self.stalls += 1
+        self.doubt = min(MOST_DOUBT, self.doubt + 1 + int(late > STALL_MS / 2.0))
+        self.out, self.heard_at = None, now
+        self.suspects = {name: max(at, now + min(late, STALL_MS)) for name, at in self.suspects.items()}
+
+    def _ask(self, out: Out, does: Does) -> None:
+        out.asked = True
+        target = self.roll.members.get(out.name)
+        alive = [one.name for one in self.roll.others() if one.standing is Standing.ALIVE]
+        if target is not None:
+            helpers = self.some([name for name in alive if name != out.name], HELPERS)
+            does.ask += [(self.roll.members[name], target, out.number) for name in helpers]
+
+    def _end_period(self, now: float, does: Does) -> None:
+        """A probe that did not come back, straight or through others, is an accusation, unless nobody at all
+        spoke meanwhile: then it is this member that is deaf, and it waits for longer before it says so."""
+        out, self.out = self.out, None
+        if out is None:
+            return
+        if self.heard_at < out.at:
+            self.doubt = min(MOST_DOUBT, self.doubt + 1)
+            if now - self.heard_at < LONGEST_MS:
+                return
+        member = self.roll.members.get(out.name)
+        if member is None or member.birth != out.birth or member.heard >= out.at:
+            return
+        if member.living and self.roll.me not in member.witnesses:
+            self.accusations += member.standing is Standing.ALIVE
+            claim = Claim(member.name, member.birth, member.turn, Standing.SUSPECT, by=self.roll.me)
+            self.roll.hear(claim, now, self.roll.me)
+            self.heard(claim, now)
+            does.news.append(member.name)
+
+    def _begin_period(self, now: float, does: Does) -> None:
+        self.next_at = max(self.next_at + self.patience(self.period_ms), now + self.period_ms / 4.0)
+        members = self.roll.members
+        while self.order:
+            member = members.get(self.order.pop())
+            if member is not None and member.living and member.facts and member.name != self.roll.me:
+                return self._probe(member, now, does)
+        self.order = self.shuffle([one.name for one in self.roll.others()])
+        if self.order:
+            self._probe(members[self.order.pop()], now, does)
+
+    def _probe(self, member: Member, now: float, does: Does) -> None:
+        self.count += 1
+        self.out = Out(member.name, member.birth, self.count, now)
+        does.probe.append((member, self.count))
+
+    def _knock(self, now: float, does: Does) -> None:
+        self.knock_at = now + KNOCK_MS * (0.75 + 0.5 * self._chance())
+        dead = [one.name for one in self.roll if one.standing is Standing.FAILED and one.facts]
+        if dead:
+            self.count += 1
+            does.probe.append((self.roll.members[self.some(dead, 1)[0]], self.count))
+
+    def _bury(self, now: float, does: Does) -> None:
+        for name in [name for name, at in self.suspects.items() if at <= now]:
+            del self.suspects[name]
+            member = self.roll.members.get(name)
+            if member is None or member.standing is not Standing.SUSPECT:
+                continue
+            if member.heard > member.since:  # it spoke since: its own word on that is on its way
+                self.suspects[name] = now + LEAST_MS
+                continue
+            self.deaths += 1
+            self.roll.hear(Claim(name, member.birth, member.turn, Standing.FAILED), now, self.roll.me)
+            does.news.append(name)
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cherrygrade.door import Nodes
 from cherrygrade.extents.carrier import Carrier, Range
@@ -23,10 +23,13 @@
 from cherrygrade.peers.store import Claim, waits
 from cherrygrade.peers.watch import Watch
 from cherrygrade.policy import Dispatcher
-from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Pace, Place, Trade
+from cherrygrade.site import Bearings, Bounds, Cuts, Fleet, Lines, Origin, Pace, Place, Trade
 from cherrygrade.transport.listening import listen
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
+if TYPE_CHECKING:
+    from cherrygrade.fleet.party import Party
+
 TELL_S = 60.0
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
 BACKLOG, ABREAST = 1024, 1  # a crowd that arrives waits at the door: who is in goes on meanwhile
@@ -47,6 +50,8 @@
         cuts: Cuts | None = None,
         pace: Pace | None = None,
         places: Sequence[str] = (),
+        fleet: Fleet | None = None,
+        origin: Origin | None = None,
     ) -> None:
         self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
@@ -59,6 +64,25 @@
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel()
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self.party: Party | None = None
+        company = None
+        if fleet is not None:
+            from cherrygrade.fleet.company import Fellows  # where no fleet is named, none of it is loaded
+            from cherrygrade.fleet.party import Party
+
+            seat, loop = place.number, asyncio.get_running_loop()
+            self.party = Party(
+                fleet,
+                place.name,
+                seat,
+                place.dispatchers,
+                place.seed,
+                origin or Origin(0),
+                lambda: loop.time() * 1000.0,
+                lambda peer, word: self.rounds.hear(peer, word),
+                log,
+            )
+            company = Fellows(self.party.core, seat)
         dispatcher = make(
             seed=place.seed,
             number=place.number,
@@ -69,6 +93,7 @@
             budget=bearings.budget,
             permits=bearings.permits,
             key_rest_ms=bearings.key_rest_ms,
+            **({"company": company} if company is not None else {}),
         )
         pace = pace or Pace()
         top, tight = dispatcher.top, dispatcher.tight
@@ -101,6 +126,8 @@
         self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
         if self.words is not None:
             await self.words.start()
+        if self.party is not None:
+            await self.party.start()
         self.follower.start()
         if self.watch.pace.watch:
             self.watch.start()
@@ -118,6 +145,8 @@
             return
         self.leaving = True
         self.log("leaving", held=len(self.held))
+        if self.party is not None:
+            self.party.leave()
         if self._server is not None:
             self._server.close()
         for session in self.sessions:
@@ -130,6 +159,8 @@
         """A line each minute of what ranges and room came to; none of what did nothing."""
         self.ranges.tell()
         self.rooms.tell()
+        if self.party is not None:
+            self.log("fleet", side=self.party.core.side.value, **self.party.counts())
         if self.words is not None:
             words, module = self.words, self.rounds.module
             counts = {"said": words.said, "lost": words.lost, "dropped": words.dropped}
@@ -161,6 +192,8 @@
         self.follower.close()
         if self.words is not None:
             self.words.close()
+        if self.party is not None:
+            self.party.close()
         self._tell()
         self.ranges.close()
         self.watch.close()
@@ -321,6 +354,9 @@
     # What rounds carry out.
 
     def before_round(self, now: float) -> None:
+        if self.party is not None:
+            for send in self.rounds.inbox.answers:
+                self.party.met(send)
         for out in self.wheel.due(now):
             self.links[out.node].give_up(out, Outcome.TIMED_OUT)
 
@@ -394,7 +430,9 @@
         self.follower.ask_map(volume, first, count)
 
     def tell(self, peer: int | None, payload: bytes) -> None:
-        if self.words is not None:
+        if self.party is not None:
+            self.party.tell(peer, payload)
+        elif self.words is not None:
             self.words.tell(peer, payload)
 
     def ask_list(self, push: bool) -> None:
--- a/cherrygrade/interface.py
+++ b/cherrygrade/interface.py
@@ -193,6 +193,26 @@
     """The one that carries it: one send on the wire, told apart by RPC in all else."""
 
 
+class Company:
+    """The other dispatchers, as the module needs them: who pools what is known of a node. This one counts
+    them as they were numbered; a host whose dispatchers know each other gives another."""
+
+    yields = False
+    """This dispatcher's parts of cold nodes and of limits are another's."""
+
+    def __init__(self, dispatchers: int) -> None:
+        self.dispatchers = dispatchers
+
+    def keeper(self, node: int) -> int:
+        """Number of the dispatcher that keeps the node, told by the mark that words name it by; -1:
+        nobody."""
+        return node % self.dispatchers
+
+    def tells(self, node: int, now: float) -> bool:
+        """This dispatcher keeps the node, and has for long enough to know what is out there."""
+        return True
+
+
 class Writer(Protocol):
     """Takes the decisions of one round, in the order they are made."""
 
--- a/cherrygrade/lab/roles.py
+++ b/cherrygrade/lab/roles.py
@@ -30,21 +30,26 @@
     print(f"listening {port} {node.control_port}", flush=True)
     await _until_told()
     if record is not None:
-        held = [
-            [
-                volume,
-                key,
-                len(data),
-                zlib.crc32(data),
-                base64.b64encode(data).decode() if len(data) <= 64 * 1024 else "",
-            ]
-            for (volume, key), data in node.bytes.items()
-        ]
-        record.with_suffix(".bytes.json").write_text(json.dumps(held))
+        write_bytes(node, record)
     note.flush()
     node.close()
 
 
+def write_bytes(node: Node, record: Path) -> None:
+    """Beside its record, what bytes the node holds."""
+    held = [
+        [
+            volume,
+            key,
+            len(data),
+            zlib.crc32(data),
+            base64.b64encode(data).decode() if len(data) <= 64 * 1024 else "",
+        ]
+        for (volume, key), data in node.bytes.items()
+    ]
+    record.with_suffix(".bytes.json").write_text(json.dumps(held))
+
+
 async def run_register(listen: str, control: str, record: Path | None) -> None:
     note = Record(record)
     register = Register(listen, 1, note)
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import signal
+import socket
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -74,6 +75,15 @@
             return await self.process.wait()
 
 
+def free_places(count: int) -> list[str]:
+    """Ports of loopback that nobody has, bound together so that they differ."""
+    holds = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    places = [f"127.0.0.1:{hold.getsockname()[1]}" for hold in holds]
+    for hold in holds:
+        hold.close()
+    return places
+
+
 class Day:
     def __init__(
         self,
@@ -95,6 +105,7 @@
         self.codes: list[list[object]] = []
         self.register = Child("register", folder)
         self.listed = Controller("")
+        self.places = free_places(scenario.dispatchers) if scenario.words else []
 
     def now(self) -> float:
         return asyncio.get_running_loop().time() * 1000.0
@@ -174,6 +185,13 @@
 
         self.nodes = [*await asyncio.gather(*(node(index) for index in range(len(scenario.nodes))))]
         self.addresses = [f"127.0.0.1:{child.ports[0]}" for child, _ in self.nodes]
+        await self._list_all()
+        self.dispatchers = [Child(f"dispatcher-{number}", folder) for number in range(scenario.dispatchers)]
+        await asyncio.gather(*(self._launch(number) for number in range(scenario.dispatchers)))
+
+    async def _list_all(self) -> None:
+        """What the register and the nodes have to know before the day."""
+        scenario = self.scenario
         self.starts = [1] * len(self.nodes)
         for index in range(len(self.nodes)):
             await self._list(index, "live", age_ms=1e7)
@@ -194,8 +212,6 @@
                     step=float(len(self.nodes)),
                     count=float(volume.extents),
                 )
-        self.dispatchers = [Child(f"dispatcher-{number}", folder) for number in range(scenario.dispatchers)]
-        await asyncio.gather(*(self._launch(number) for number in range(scenario.dispatchers)))
 
     async def _launch(self, number: int) -> None:
         child = self.dispatchers[number]
@@ -207,6 +223,7 @@
             self.lives[number],
             listen,
             f"127.0.0.1:{self.register.ports[0]}",
+            self.places,
         )
         await child.start(*self.program, str(file))
         self.note.note("life", number, self.lives[number])
@@ -241,7 +258,7 @@
                 *(
                     self._dispatcher_trouble(trouble, number)
                     for number in trouble.on
-                    if number < len(self.dispatchers)
+                    if number < self.scenario.dispatchers
                 )
             )
 
--- a/cherrygrade/lab/scenario.py
+++ b/cherrygrade/lab/scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -66,6 +67,7 @@
     troubles: list[Trouble]
     site: dict[str, Any]
     ranges: dict[str, RangeVolume] = field(default_factory=dict)
+    words: bool = False
 
 
 def read_scenario(path: Path, extra: str = "") -> Scenario:
@@ -73,8 +75,16 @@
     return convert(plain(read_vertex(path, "scenario.rec", extra)), Scenario)
 
 
-def write_site(scenario: Scenario, folder: Path, number: int, life: int, listen: str, register: str) -> Path:
-    """The settings of one dispatcher's life, as a record file."""
+def write_site(
+    scenario: Scenario,
+    folder: Path,
+    number: int,
+    life: int,
+    listen: str,
+    register: str,
+    places: Sequence[str] = (),
+) -> Path:
+    """The settings of one dispatcher's life, as a record file; places where words are heard, if any are."""
     place = {
         "name": f"d{number}.{life}",
         "listen": listen,
@@ -84,7 +94,12 @@
         "seed": scenario.seed * 1000 + number * 10 + life,
     }
     path = folder / f"dispatcher-{number}.{life}.rec"
-    path.write_text(json.dumps({"place": place, **scenario.site}, indent=1) + "\n")
+    site = dict(scenario.site)
+    if scenario.words:
+        site["words"] = {"places": [*places]}
+        site["permits"] = {**site.get("permits", {}), "peers": True}
+        site["earnings"] = {**site.get("earnings", {}), "tells_elsewhere": False}
+    path.write_text(json.dumps({"place": place, **site}, indent=1) + "\n")
     return path
 
 
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -21,9 +21,9 @@
 from struct import calcsize, iter_unpack, pack
 from zlib import crc32
 
-from cherrygrade.interface import ColdStart, Earnings, Effect, Node, Outcome, Permits  # isort: split
+from cherrygrade.interface import ColdStart, Company, Earnings, Effect, Node, Outcome  # isort: split
 
-from cherrygrade.interface import Plan, ResendBudget, Rpc, Send, Standing, Workload, Writer
+from cherrygrade.interface import Permits, Plan, ResendBudget, Rpc, Send, Standing, Workload, Writer
 
 BEAT_MS, NEVER = 10.0, 1e15  # wakes are asked for on this grid, so that they never pile up
 FEW = 2  # open nodes that are compared for a new object; a large fleet is not ranked whole
@@ -88,10 +88,7 @@
 
     @property
     def out(self) -> bool:
-        for send in self.rpc.sends:
-            if send.outcome is None:
-                return True
-        return False
+        return None in [send.outcome for send in self.rpc.sends]
 
     def join(self, queue: list[Job] | None) -> None:
         """Leave the queue it stands in for this one, or for none."""
@@ -326,9 +323,10 @@
 class Gate:
     """The seven rules. Every send passes `opens`, and every final rejection `may_reject`."""
 
-    def __init__(self, number: int, dispatchers: int, part: float, cold: ColdStart,
+    def __init__(self, number: int, company: Company, part: float, cold: ColdStart,
                  budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
-        self.number, self.dispatchers, self.part, self.cold = number, dispatchers, part, cold
+        self.number, self.company, self.part, self.cold = number, company, part, cold
+        self.dispatchers = company.dispatchers
         self.budget, self.permits, self.key_rest_ms, self.begun = budget, permits, key_rest_ms, NEVER
         self.taken: deque[float] = deque()  # both drop what left the budget's span
         self.further: deque[float] = deque()
@@ -372,7 +370,7 @@
         part = max(borne / self.dispatchers, self.part)
         place = (self.number + crc32(lane.node.address.encode())) % self.dispatchers
         spent = sum(units for at, units in lane.cold if at >= now - cold.span_ms)
-        return part * ((place + 1) * part < borne + 1e-6) - spent
+        return part * ((place + 1) * part < borne + 1e-6 and not self.company.yields) - spent
 
     def may_reject(self, rpc: Rpc) -> bool:
         ran = any(send.outcome is None or not send.outcome.never_ran for send in rpc.sends)
@@ -401,7 +399,10 @@
                 return self.rests.get(rpc.key, NEVER)
         spent = rpc.sends and self.budget and (
             len(self.further) + 1 > self.budget.spare + self.budget.share * len(self.taken))
-        empty = not rpc.sends and volume.plan.limit_rate and volume.store < rpc.units
+        if volume.plan.limit_rate and not rpc.sends:  # it fills while nothing of the volume comes or goes
+            volume.pass_time(now)
+        short = self.company.yields or volume.store < rpc.units
+        empty = not rpc.sends and volume.plan.limit_rate and short
         return now + BEAT_MS if spent or empty or self.cold_room(lane, now) < rpc.units else now
 
     def sent(self, job: Job, lane: Lane, now: float) -> None:
@@ -415,9 +416,10 @@
 class Dispatcher:
     def __init__(self, *, seed: int, number: int, dispatchers: int, workloads: Sequence[Workload],
                  earnings: Earnings, cold: ColdStart, budget: ResendBudget | None, permits: Permits,
-                 key_rest_ms: float) -> None:
+                 key_rest_ms: float, company: Company | None = None) -> None:
         self.seed, self.count, self.earnings, self.permits = seed, 0, earnings, permits
-        self.gate = Gate(number, dispatchers, earnings.mean_units, cold, budget, permits, key_rest_ms)
+        self.company = company or Company(dispatchers)
+        self.gate = Gate(number, self.company, earnings.mean_units, cold, budget, permits, key_rest_ms)
         self.top = max((workload.value for workload in workloads), default=1.0)
         self.tight = min((workload.soft_ms for workload in workloads), default=1000.0)
         self.tries: dict[str, float] = {}  # longest time given for a try; a workload each
@@ -486,7 +488,7 @@
         """A peer's word. What is cut short, or not of or to the keeper, moves nothing and is counted."""
         whole = len(word) % calcsize(WORD) == 0
         for kind, place, units, value in iter_unpack(WORD, word) if whole else ():
-            lane, keeper = self.places.get(place), place % self.gate.dispatchers
+            lane, keeper = self.places.get(place), self.company.keeper(place)
             told, report = kind == WAITING and keeper == peer, kind < WAITING and keeper == self.gate.number
             if lane and told:
                 lane.hear(now, float(value), 2.0 * units)
@@ -501,7 +503,7 @@
 
     def report(self, lane: Lane, kind: int, units: float, took: float, now: float) -> None:
         """What goes to a node and comes back is told to the one dispatcher that keeps the node."""
-        keeper = lane.place % self.gate.dispatchers
+        keeper = self.company.keeper(lane.place)
         if self.permits.peers and keeper == self.gate.number:
             self.keep(lane, kind, units, took, now)
         elif self.permits.peers:
@@ -512,7 +514,7 @@
         """Reports go with the round that made them, what keepers know on a grid, where it moved."""
         if now >= self.tell_at:
             for lane, keeper in self.kept.items():
-                if keeper.step(now):
+                if self.company.tells(lane.place, now) and keeper.step(now):
                     lane.hear(now, *keeper.told)
                     wait, unit = keeper.told
                     word = pack(WORD, WAITING, lane.place, min(255, int(unit / 2.0)), int(wait))
@@ -583,11 +585,7 @@
         shard = job.rpc.shard if job.rpc.shard >= 0 or not ran else ran[0]  # only there a repeat is dropped
         if shard >= 0:
             homes = self.shards.get(shard) or [self.unplaced]
-            job.lane = homes[0]
-            for lane in homes:
-                if lane.node.standing is Standing.LIVE:
-                    job.lane = lane
-                    break
+            job.lane = ([lane for lane in homes if lane.node.standing is Standing.LIVE] or homes)[0]
         else:
             job.lane, lanes = self.unplaced, list(self.lanes.values())
         soonest, few = NEVER, FEW
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -11,7 +11,20 @@
 
 from cherrygrade.records.grammar import RecordSyntaxError, parse
 from cherrygrade.records.lattice import Vertex, unify
-from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade, Volume, Ways
+from cherrygrade.site import (
+    Bearings,
+    Bounds,
+    Cuts,
+    Fleet,
+    Lines,
+    Measure,
+    Pace,
+    Place,
+    Site,
+    Trade,
+    Volume,
+    Ways,
+)
 
 T = TypeVar("T")
 
@@ -76,6 +89,7 @@
     peers: Pace
     words: Ways
     budget: Any = None
+    fleet: Fleet | None = None
 
 
 def site_from(value: dict[str, Any], where: Callable[[str], str] = lambda key: "") -> Site:
@@ -95,7 +109,15 @@
     }
     bearings = convert({**given, "key_rest_ms": record.key_rest_ms}, Bearings)
     site = Site(
-        record.place, trade, bearings, record.bounds, record.lines, cuts, record.peers, record.words
+        record.place,
+        trade,
+        bearings,
+        record.bounds,
+        record.lines,
+        cuts,
+        record.peers,
+        record.words,
+        record.fleet,
     )
     if site.faults():
         raise RecordError([f"{where(key)}{key}: {what}" for key, what in site.faults()])
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -130,6 +130,31 @@
     places: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """A fleet of dispatchers that know each other. Place: host:port that others reach this one at, by
+    datagram and stream; bind: where it listens, where that is another. Contacts: places of a few others.
+    Ms: between two probes; how long the dead are remembered."""
+
+    name: str
+    place: str
+    bind: str = ""
+    contacts: list[str] = field(default_factory=list)
+    zone: str = ""
+    period_ms: float = 400.0
+    keep_ms: float = 600000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """This life of a dispatcher: Unix ms of its start; the program's version; a mark of the settings that
+    are to be the same all over the fleet."""
+
+    birth: int
+    version: str = ""
+    settings: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     place: Place
@@ -140,6 +165,7 @@
     cuts: Cuts
     pace: Pace
     words: Ways = field(default_factory=Ways)
+    fleet: Fleet | None = None
 
     def faults(self) -> list[tuple[str, str]]:
         """Keys, and what is wrong with them beside others: limits without a depth, and settings of two
@@ -149,13 +175,18 @@
         for plan in {volume.plan.name: volume.plan for volume in self.trade.volumes.values()}.values():
             if plan.limit_rate and not plan.limit_depth:
                 found.append((f"plans.{plan.name}.limit_depth", "0, but limit_rate is set: nothing could go"))
+        if self.fleet is not None and places:
+            found.append(("words.places", "given beside fleet: words go by the fleet"))
+            return found
         if places and not permits.peers:
             found.append(("words.places", "given, but permits.peers is false: dispatchers share nothing"))
         if not permits.peers:
             return found
         if place.dispatchers < 2:
             found.append(("permits.peers", "true, but place.dispatchers is 1: there is nobody to tell"))
-        if len(places) != place.dispatchers or len(set(places)) != place.dispatchers:
+        if self.fleet is None and (
+            len(places) != place.dispatchers or len(set(places)) != place.dispatchers
+        ):
             needed = f"with permits.peers one for each of place.dispatchers ({place.dispatchers})"
             found.append(("words.places", f"{len(places)} places, {len(set(places))} different; {needed}"))
         if earnings.tells_elsewhere:
--- a/cherrygrade/standin/record.py
+++ b/cherrygrade/standin/record.py
@@ -28,3 +28,8 @@
     def flush(self) -> None:
         if self._file is not None:
             self._file.flush()
+
+    def close(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
--- a/cherrygrade/transport/listening.py
+++ b/cherrygrade/transport/listening.py
@@ -13,6 +13,10 @@
 ) -> asyncio.Server:
     """A queue of `backlog` at the door, `abreast` accepted in one turn: asyncio takes one figure for both."""
     host, _, port = address.rpartition(":")
+    own = getattr(asyncio.get_running_loop(), "listen", None)
+    if own is not None:  # a loop without sockets
+        made: asyncio.Server = await own(factory, host, int(port))
+        return made
     door = socket.create_server((host, int(port)), backlog=backlog)
     door.setblocking(False)
     server = await asyncio.get_running_loop().create_server(factory, sock=door, backlog=abreast)
--- /dev/null
+++ b/cherrygrade/virtual/datagrams.py
@@ -0,0 +1,65 @@
+"""Datagrams of a virtual loop: lost, late, doubled and out of order, as they are told to be."""
+
+from __future__ import annotations
+
+import asyncio
+from contextvars import copy_context
+from dataclasses import dataclass
+from typing import Any
+
+from cherrygrade.virtual.loop import CURRENT
+from cherrygrade.virtual.network import Network
+
+
+@dataclass(frozen=True, slots=True)
+class Rain:
+    """What becomes of datagrams: parts lost and doubled; ms of way, each drawn anew, so that they
+    overtake."""
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    delay_ms: float = 0.1
+    jitter_ms: float = 0.5
+
+
+class VirtualDatagrams(asyncio.DatagramTransport):
+    """One bound place. What comes to a process that stands still waits for it, as in a socket's queue."""
+
+    def __init__(self, network: Network, rain: Rain, place: tuple[str, int], protocol: Any) -> None:
+        super().__init__({"sockname": place})
+        self.network, self.rain, self.place, self.protocol = network, rain, place, protocol
+        self.process, self.context = CURRENT.get(), copy_context()
+        self._closed = False
+        self.network.datagrams[place] = self
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        if self._closed:
+            return
+        network = self.network
+        network.datagrams_sent += 1
+        network.datagram_bytes += len(data)
+        there = network.datagrams.get(addr)
+        ours = self.process.name if self.process else ""
+        theirs = there.process.name if there is not None and there.process else ""
+        if there is None or network.parted(ours, theirs):
+            return
+        draw = network.chance.part(f"{self.place}>")
+        times = 0 if draw.random() < self.rain.lost else 1 + (draw.random() < self.rain.doubled)
+        for _ in range(times):
+            after = self.rain.delay_ms + self.rain.jitter_ms * float(draw.random())
+            at, landed = network.loop.time() + after / 1000.0, there.landed
+            network.loop.call_at(at, landed, bytes(data), self.place, context=there.context)
+
+    def landed(self, data: bytes, source: tuple[str, int]) -> None:
+        if not self._closed:
+            self.protocol.datagram_received(data, source)
+
+    def is_closing(self) -> bool:
+        return self._closed
+
+    def close(self) -> None:
+        self._closed = True
+        if self.network.datagrams.get(self.place) is self:
+            del self.network.datagrams[self.place]
+
+    abort = close
--- a/cherrygrade/wire/messages.py
+++ b/cherrygrade/wire/messages.py
@@ -68,6 +68,14 @@
     payload: Annotated[bytes, Meta(max_length=MOST_WORD)]
 
 
+class Members(Message):
+    """Part of a member's roll, as `fleet/` writes it, or of what a person asked for; `last`: nothing
+    follows."""
+
+    payload: Annotated[bytes, Meta(max_length=16000)]
+    last: bool
+
+
 class ReadRpc(Message):
     """A client's read."""
 
@@ -260,6 +268,7 @@
     3: Bye,
     4: Leaving,
     5: Word,
+    6: Members,
     10: ReadRpc,
     11: WriteRpc,
     12: Leave,
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -46,6 +46,7 @@
             budget=budget,
             permits=more.get("permits", Permits(most_sends=4, cancel=True, come_back_ms=500.0)),
             key_rest_ms=100.0,
+            company=more.get("company"),
         )
         self.round(heard=self.nodes)
 
--- /dev/null
+++ b/tests/test_fleet_pages.py
@@ -0,0 +1,110 @@
+"""Datagrams: what is no page of this fleet's is counted and dropped, and nobody is answered with more than
+it sent."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cherrygrade.fleet.core import Core
+from cherrygrade.fleet.pages import HEAD, MOST_PAGE, Answer, Book, Probe, Push, Spoken
+from cherrygrade.fleet.roll import Claim, Facts, Standing
+
+ALIVE = [
+    Claim(f"d{n}", 1, 0, Standing.ALIVE, Facts(f"10.0.0.{n}:1", "zone", "0.2.0", "ab", n)) for n in range(40)
+]
+BITS = st.integers(-(2**63), 2**64 - 1)
+
+
+def core() -> Core:
+    made = Core("d0", 1, Facts("10.0.0.0:1", seat=0), 40, [], 1, 0.0)
+    made.exchanged(ALIVE, "d1", 1.0)
+    return made
+
+
+def test_a_page_comes_back_as_it_was_and_keeps_to_its_length():
+    book = Book("fleet")
+    for page in (Probe("d1", 1, 7, 99, ALIVE[:30]), Push("d1", 1, ALIVE), Spoken("d1", 1, 1, b"x" * 240)):
+        data = book.write(page)
+        assert len(data) <= MOST_PAGE
+        read = book.read(data)
+        assert type(read) is type(page) and read.name == "d1"
+        if not isinstance(page, Spoken):
+            assert read.news == page.news[: len(read.news)] and len(read.news) >= 10
+    assert len(book.write(Probe("d1", 1, 7, 99))) >= 300
+
+
+def test_an_answer_is_no_longer_than_what_asked_for_it():
+    book, here = Book("fleet"), core()
+    for name in (one.name for one in ALIVE[1:]):
+        here.news.add(name, 2.0)
+    data = book.write(Probe("d9", 1, 7, 99))
+    mail = here.hear(book.read(data), "10.0.0.9:1", 3.0)
+    assert len(mail.answers) == 1 and isinstance(mail.answers[0], Answer)
+    assert len(book.write(mail.answers[0], len(data))) <= len(data)
+
+
+def test_what_is_of_another_fleet_or_version_or_spoilt_is_counted_by_its_kind():
+    book, other = Book("fleet"), Book("fleet of others")
+    data = book.write(Probe("d1", 1, 7, 99))
+    assert book.read(other.write(Probe("d1", 1, 7, 99))) is None
+    assert book.read(b"cgF9" + data[4:]) is None
+    assert book.read(data[:-1] + b"\x00\x01") is None and book.read(b"") is None
+    assert book.read(data + bytes(MOST_PAGE)) is None
+    assert book.wrong == {"another fleet": 1, "version": 1, "checksum": 1, "length": 2}
+
+
+@given(st.binary(max_size=200))
+def test_noise_is_dropped(data):
+    assert Book("fleet").read(data) is None
+
+
+@given(
+    st.recursive(
+        st.none() | BITS | st.text(max_size=5) | st.binary(max_size=5) | st.floats(),
+        lambda inner: st.lists(inner, max_size=6),
+        max_leaves=12,
+    ),
+    st.sampled_from("paqcnwx"),
+)
+def test_a_whole_frame_around_nonsense_is_dropped_or_harmless(value, tag):
+    import msgspec
+    import xxhash
+
+    book, here = Book("fleet"), core()
+    body = msgspec.msgpack.encode([tag, *(value if isinstance(value, list) else [value])])
+    data = HEAD.pack(b"cgF1", book.mark, xxhash.xxh3_64_intdigest(body)) + body
+    page = book.read(data)
+    if page is not None:
+        here.hear(page, "10.0.0.9:1", 3.0)
+        here.beat(500.0)
+    assert len(here.roll.members) <= 160
+
+
+def test_lies_about_others_cost_no_more_than_their_own_word_mends():
+    here = core()
+    lies = [Claim("d7", 1, 0, Standing.FAILED), Claim("d0", 1, 4, Standing.FAILED)]
+    here.hear(Push("d5", 1, lies), "10.0.0.5:1", 5.0)
+    assert here.roll.own.standing is Standing.ALIVE and here.roll.own.turn == 5  # its own word against it
+    assert here.roll.members["d7"].standing is Standing.FAILED
+    here.hear(Push("d7", 1, [Claim("d7", 1, 1, Standing.ALIVE, ALIVE[7].facts)]), "10.0.0.7:1", 6.0)
+    assert here.roll.members["d7"].standing is Standing.ALIVE
+
+
+def test_births_and_turns_that_cannot_be_move_nothing():
+    here = core()
+    far = Facts("10.9.9.9:9", seat=0)
+    lies = [Claim("d0", 1, 2**63, Standing.FAILED), Claim("d0", 2**52, 0, Standing.ALIVE, far)]
+    lies += [Claim("d7", 2**52, 0, Standing.ALIVE, far), Claim("d8", 1, 2**62, Standing.SUSPECT)]
+    here.hear(Push("d5", 1, lies), "10.0.0.5:1", 5.0)
+    assert not here.silent and here.roll.own.turn == 0
+    assert here.roll.members["d7"].birth == 1 and here.roll.members["d8"].turn == 0
+
+
+def test_words_of_whoever_does_not_hold_the_seat_move_nothing():
+    here = core()
+    assert here.hear(Spoken("d5", 1, 5, b"word"), "10.0.0.5:1", 5.0).words == [(5, b"word")]
+    for name, birth, seat in (("d5", 1, 6), ("d5", 2, 5), ("nobody", 1, 5), ("d0", 1, 0), ("d5", 1, -1)):
+        assert here.hear(Spoken(name, birth, seat, b"w"), "10.0.0.5:1", 5.0).words == []
+    flood = [here.hear(Spoken("d6", 1, 6, b"w"), "10.0.0.6:1", 6.0).words for _ in range(1000)]
+    assert sum(len(words) for words in flood) == 400
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -7,7 +7,7 @@
 import pytest
 from fakehost import EXPORT, MARKED, READ, FakeHost
 
-from cherrygrade.interface import Earnings, Node, Outcome, Permits, Plan, Rpc
+from cherrygrade.interface import ColdStart, Company, Earnings, Node, Outcome, Permits, Plan, Rpc
 from cherrygrade.policy import ANSWERED, SENT, WAITING, WORD, Keeper
 
 PEERS = Permits(most_sends=4, cancel=True, come_back_ms=500.0, peers=True)
@@ -166,6 +166,61 @@
     assert strikes[0] >= 1 and strikes[1] == 0
 
 
+class Others(Company):
+    """Whoever is told to keeps all nodes."""
+
+    keeps, told = 1, True
+
+    def keeper(self, node):
+        return self.keeps
+
+    def tells(self, node, now):
+        return self.told
+
+
+def test_words_go_to_whoever_keeps_the_node_now():
+    company = Others(3)
+    host = FakeHost(dispatchers=3, permits=PEERS, company=company)
+    told = []
+    host.tell = lambda peer, payload: told.append(peer)
+    host.take(host.rpc())
+    company.keeps = 2  # the one before died
+    host.take(host.rpc())
+    assert told == [1, 2]
+
+
+def test_a_new_keeper_listens_before_it_tells():
+    company = Others(3)
+    company.keeps, company.told = 0, False
+    host = FakeHost(dispatchers=3, permits=PEERS, company=company)
+    told = []
+    host.tell = lambda peer, payload: told.append(peer)
+    for _ in range(30):
+        host.take(host.rpc())
+        host.pass_time(100.0)
+    assert None not in told
+    company.told = True
+    for _ in range(30):
+        host.take(host.rpc())
+        host.pass_time(100.0)
+    assert None in told
+
+
+def test_one_that_yielded_its_seat_uses_no_part_of_limits_and_cold_nodes():
+    company = Others(3)
+    cold = ColdStart(units=12.0, share=0.25, multiple=3.0, span_ms=1000.0, warm_ms=4000.0)
+    limited = Plan("limited", usual_rate=100.0, limit_rate=100.0, limit_depth=50.0)
+    host = FakeHost(nodes=2, dispatchers=3, company=company, cold=cold)
+    host.pass_time(1000.0)
+    company.yields = True
+    host.nodes[1].born_ms = host.now - 1500.0
+    host.take(host.rpc(plan=limited, volume="w"), host.rpc(shard=1), host.rpc())
+    assert [send.node for send in host.sent] == [host.nodes[0]] and host.sent[0].rpc.volume == "v"
+    company.yields = False
+    host.pass_time(50.0)
+    assert {send.rpc.volume for send in host.sent} == {"v", "w"} and len(host.sent) == 3
+
+
 def test_a_first_try_in_haste_is_no_repeat_where_repeats_are_marked():
     # Its client left itself little time; taken for a repeat it was late, and rejected at once. Where none is
     # marked, one whose key was given up here is a repeat.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -105,6 +105,15 @@
     assert further == 4
 
 
+def test_a_limits_store_fills_while_nothing_of_its_volume_comes_or_goes():
+    # The only RPC of its volume waited for units that were there, until it was given up.
+    host = FakeHost()
+    host.take(host.rpc(plan=Plan("limited", usual_rate=100.0, limit_rate=100.0, limit_depth=50.0)))
+    assert not host.sent
+    host.pass_time(40.0)
+    assert len(host.sent) == 1 and not host.rejected
+
+
 def test_a_plan_limit_is_shared_evenly_by_the_volumes_dispatchers():
     host = FakeHost()
     plan = Plan("limited", usual_rate=1000.0, limit_rate=20.0, limit_depth=8.0)
--- /dev/null
+++ b/tests/yard.py
@@ -0,0 +1,111 @@
+"""A fleet of parties in virtual time: the product's own code on a network that does what it is told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from cherrygrade.fleet.party import Party
+from cherrygrade.fleet.roll import Standing
+from cherrygrade.site import Fleet, Origin
+from cherrygrade.virtual.datagrams import Rain
+from cherrygrade.virtual.guard import guarded
+from cherrygrade.virtual.loop import Process, VirtualLoop
+from cherrygrade.virtual.network import Network
+
+PORT = 7500
+
+
+class Yard:
+    def __init__(self, network: Network, count: int, seed: int) -> None:
+        self.network, self.count, self.seed = network, count, seed
+        self.parties: dict[int, tuple[Process, Party]] = {}
+        self.births = 0
+        self.words: list[tuple[int, int, bytes]] = []
+
+    def now(self) -> float:
+        return self.network.now()
+
+    async def start(self, number: int, name: str = "", host: str = "", seat: int | None = None) -> Party:
+        self.births += 1000
+        process = Process(f"d{number}")
+        place = f"{host or f'10.0.0.{number}'}:{PORT}"
+        contacts = [f"10.0.0.{at}:{PORT}" for at in (0, 1)]
+        made: list[Party] = []
+
+        async def begin() -> None:
+            loop = asyncio.get_running_loop()
+            party = Party(
+                Fleet("yard", place, contacts=contacts, zone=f"z{number % 3}"),
+                name or f"d{number}",
+                number if seat is None else seat,
+                self.count,
+                self.seed * 1000 + number,
+                Origin(1_700_000_000_000 + self.births, "1", "s"),
+                lambda: loop.time() * 1000.0,
+                lambda peer, word: self.words.append((number, peer, word)),
+                lambda event, **facts: None,
+            )
+            made.append(party)
+            await party.start()
+
+        await asyncio.get_running_loop().create_task(begin(), context=process.context())
+        self.parties[number] = (process, made[0])
+        return made[0]
+
+    async def all_start(self) -> None:
+        for number in range(self.count):
+            await self.start(number)
+
+    def kill(self, number: int) -> Party:
+        process, party = self.parties.pop(number)
+        self.network.kill(process)
+        return party
+
+    def cut(self, some: set[int], one_way: bool = False) -> None:
+        for one in some:
+            for other in self.parties.keys() - some:
+                self.network.deaf.add((f"d{one}", f"d{other}"))
+                if not one_way:
+                    self.network.deaf.add((f"d{other}", f"d{one}"))
+
+    def heal(self) -> None:
+        self.network.deaf.clear()
+
+    def cores(self) -> dict[int, Any]:
+        return {number: party.core for number, (_, party) in self.parties.items()}
+
+    def equal(self) -> bool:
+        cores = self.cores().values()
+        whole = all(len(core.roll.living()) == len(self.parties) for core in cores)
+        return whole and len({core.roll.digest for core in cores}) == 1
+
+    def called(self, name: str, standing: Standing, birth: int | None = None) -> set[int]:
+        """Who holds it for that."""
+        found = set()
+        for number, core in self.cores().items():
+            member = core.roll.members.get(name)
+            if member is not None and member.standing is standing and birth in (None, member.birth):
+                found.add(number)
+        return found
+
+    async def until(self, holds: Any, within_ms: float, step_ms: float = 20.0) -> float:
+        """How long it took; fails where it took longer."""
+        begun = self.now()
+        while not holds():
+            assert self.now() - begun < within_ms, f"not within {within_ms:.0f} ms"
+            await asyncio.sleep(step_ms / 1000.0)
+        return self.now() - begun
+
+
+def play(story: Any, count: int, seed: int = 1, rain: Rain | None = None) -> Any:
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        network = Network(loop, seed)
+        network.rain = rain
+        with guarded():
+            return loop.run_until_complete(story(Yard(network, count, seed)))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
