--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -198,6 +198,16 @@
     asyncio.run(run_register(listen, control, record))
 
 
+@standin.command(name="ways")
+def standin_ways(
+    *, count: int, port: int, bound: int, fleet: str = "lab", seed: int = 0, record: Path | None = None
+) -> None:
+    """Run the ways between dispatchers, with what goes wrong on them; prints its control port."""
+    from cherrygrade.lab.roles import run_ways
+
+    asyncio.run(run_ways(count, port, bound, fleet, seed, record))
+
+
 @standin.command(name="platform")
 def standin_platform(*, discovery: str = "127.0.0.1:8500", nodes: int = 3) -> None:
     """Run the platform's discovery and some storage nodes, to try `python -m cherrygrade platform` with."""
@@ -242,6 +252,32 @@
     return lab_audit(scenario, folder, given=(text,) if text else ())
 
 
+@lab.command(name="fleet")
+def lab_fleet(
+    scenario: Path,
+    *,
+    seed: int = 1,
+    dispatchers: int | None = None,
+    report: Path = Path("build/fleet"),
+    given: Given = (),
+) -> int:
+    """Play a day of a fleet of dispatchers: real processes, all ways between them through one that fails
+    as told.
+
+    Exit code 0 only if every promise held, judged from the ways, the process table and the records.
+    """
+    more = [f"seed: {seed}", *([f"dispatchers: {dispatchers}"] if dispatchers is not None else [])]
+    text = "\n".join([*given, *more])
+    from cherrygrade.lab.run import play
+
+    try:
+        play(scenario, report, text)
+    except RecordError as trouble:
+        print(trouble, file=sys.stderr)
+        return 2
+    return lab_audit(scenario, report, given=(text,))
+
+
 @lab.command(name="audit")
 def lab_audit(scenario: Path, folder: Path, *, given: Given = ()) -> int:
     """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
@@ -251,7 +287,14 @@
     from cherrygrade.lab.audit import judge
     from cherrygrade.lab.scenario import read_scenario
 
-    verdicts, evidence = judge(read_scenario(scenario, "\n".join(given)), folder)
+    read = read_scenario(scenario, "\n".join(given))
+    verdicts, evidence = judge(read, folder)
+    if read.fleet:
+        from cherrygrade.lab import fleetaudit
+
+        verdicts += fleetaudit.judge(folder)
+        told = ", ".join(f"{name} {value:.0f}" for name, value in fleetaudit.figures(folder).items())
+        print(f"fleet: {told}")
     report.write(evidence, verdicts, folder)
     report.show(evidence, verdicts, Console(width=112))
     print(f"records, logs and report.json: {folder}")
--- a/cherrygrade/lab/audit.py
+++ b/cherrygrade/lab/audit.py
@@ -34,6 +34,13 @@
     6: "further sends stay in budget",
     7: "limits are kept",
     8: "acknowledged bytes are there, and right",
+    11: "the dead are known dead",
+    12: "nobody living is called dead",
+    13: "after quiet all rolls are equal",
+    14: "no old life comes back",
+    15: "nobody is accused unprobed",
+    16: "words go to the living",
+    17: "at rest members say little",
 }
 
 
--- /dev/null
+++ b/cherrygrade/lab/fleetaudit.py
@@ -0,0 +1,335 @@
+"""Judges the fleet's promises from the ways between dispatchers and from the day's own notes of its
+processes.
+
+What a dispatcher knows is told by the digest of its roll on the pages that it sends: the audit works out
+which digest the truth has, from who lives and what each said of itself. No dispatcher's log is read.
+"""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_left
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
+from cherrygrade.lab.audit import Verdict, lines
+
+KNOWN_MS = 7000.0  # from a death to all that live knowing it, in processes on one machine
+BACK_MS = 5000.0  # from a heal, or a start, to all rolls being whole again
+STALL_MS = 2000.0  # who stands still or is cut off for no longer is not called dead
+QUIET_MS = 5000.0
+PROBED_MS = 6000.0  # an accusation comes this soon behind a probe of the accuser's
+RESTING_BYTES = 2048.0  # a member's bytes a second at rest
+PROMISES = (11, 12, 13, 14, 15, 16, 17)
+
+
+@dataclass(slots=True)
+class Life:
+    """One process under a name: from when to when, by the laboratory's process table."""
+
+    number: int
+    begun: float
+    ended: float = 1e18
+    left: bool = False
+
+
+@dataclass(slots=True)
+class Page:
+    at: float
+    source: int
+    to: int
+    kind: str
+    length: int
+    lost: bool
+    digest: int
+    told: list[list[Any]]
+    target: str
+
+
+@dataclass(slots=True)
+class Story:
+    """A day as the ways and the process table have it."""
+
+    lives: dict[int, list[Life]] = field(default_factory=lambda: defaultdict(list))
+    pages: list[Page] = field(default_factory=list)
+    facts: dict[tuple[str, int], list[tuple[int, Facts]]] = field(default_factory=lambda: defaultdict(list))
+    births: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    stops: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
+    cuts: list[tuple[float, float, set[int]]] = field(default_factory=list)
+    rough: list[tuple[float, float]] = field(default_factory=list)
+    changes: list[float] = field(default_factory=list)
+    start: float = 0.0
+    end: float = 0.0
+
+    def living(self, at: float) -> list[int]:
+        return [n for n, lives in self.lives.items() if any(one.begun <= at < one.ended for one in lives)]
+
+    def troubled(self, number: int, first: float, last: float) -> bool:
+        """Whether it stood still or was cut off, for longer than a stall, at some time in this span."""
+        spans = [*self.stops[number]]
+        spans += [(begin, end) for begin, end, on in self.cuts if on]
+        return any(
+            end - begin > STALL_MS and begin <= last and first <= end + BACK_MS for begin, end in spans
+        )
+
+
+def read(folder: Path) -> Story:
+    story, halted, cut = Story(), dict[int, float](), dict[str, tuple[float, set[int]]]()
+    for at, event, *facts in lines(folder / "day.jsonl"):
+        if event == "day":
+            story.start = facts[0]
+        elif event == "life":
+            story.lives[facts[0]].append(Life(facts[0], at))
+            story.changes.append(at)
+        elif event in ("killed", "told to leave"):
+            life = story.lives[facts[0]][-1]
+            life.ended, life.left = at, event != "killed"
+            story.changes.append(at)
+        elif event == "stopped":
+            halted[facts[0]] = at
+        elif event == "continued":
+            story.stops[facts[0]].append((halted.pop(facts[0]), at))
+            story.changes.append(at)
+        elif event == "cut":
+            cut[json.dumps(facts[0])] = (at, set(facts[0]))
+        elif event == "healed":
+            begun, on = cut.pop(json.dumps(facts[0]))
+            story.cuts.append((begun, at, on))
+            story.changes.append(at)
+        elif event == "rough":
+            story.rough.append((at, at + facts[0]))
+            story.changes.append(at + facts[0])
+        elif event == "ended":
+            story.end = at
+    for at, event, *facts in lines(folder / "ways.jsonl"):
+        if event == "page":
+            story.pages.append(Page(at, *facts))
+        elif event == "facts":
+            name, birth, turn, told = facts
+            story.facts[(name, birth)].append((turn, Facts(*told)))
+            if birth not in story.births[name]:
+                story.births[name].append(birth)
+    return story
+
+
+class Truth:
+    """Which digest the roll of all that live has: marks by member, under the turn that it told last."""
+
+    def __init__(self, story: Story) -> None:
+        self.story = story
+        self.turns: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(lambda: [(0.0, 0)])
+        for page in story.pages:
+            for name, birth, turn, standing, _ in page.told:
+                known = self.turns[(name, birth)]
+                if standing == Standing.ALIVE and turn > known[-1][1]:
+                    known.append((page.at, turn))
+
+    def digest(self, at: float) -> int:
+        found = 0
+        for number in self.story.living(at):
+            name = f"d{number}"
+            births = sorted(self.story.births.get(name, []))
+            lives = [one for one in self.story.lives[number] if one.begun <= at]
+            if len(births) < len(lives):
+                return -1  # its first word is not out yet
+            birth = births[len(lives) - 1]
+            turn = max(turn for told, turn in self.turns[(name, birth)] if told <= at)
+            facts = max(
+                (one for one in self.story.facts[(name, birth)] if one[0] <= turn), key=lambda one: one[0]
+            )
+            found ^= Member(Claim(name, birth, turn, Standing.ALIVE, facts[1]), 0.0, "").mark()
+        return found
+
+
+def judge(folder: Path) -> list[Verdict]:
+    story = read(folder)
+    truth = Truth(story)
+    rules = [_known, _nobody, _equal, _old, _unprobed, _words, _rest]
+    verdicts = []
+    for number, rule in zip(PROMISES, rules, strict=True):
+        verdict = Verdict(number)
+        rule(story, truth, verdict)
+        verdicts.append(verdict)
+    return verdicts
+
+
+def _known(story: Story, truth: Truth, verdict: Verdict) -> None:
+    """After a death, with nothing else changing, each that lives shows the digest without the dead one in
+    time."""
+    for number, lives in story.lives.items():
+        for life in lives:
+            by = life.ended + KNOWN_MS
+            others = [at for at in story.changes if life.ended + 1000.0 < at < by]
+            cut = any(begin < by and end > life.ended - BACK_MS for begin, end, _ in story.cuts)
+            if life.ended > story.end or by > story.end or others or cut or life.left:
+                continue
+            verdict.judged += 1
+            for one in story.living(by):
+                if not _shows(story, truth, one, life.ended, by + 500.0):
+                    verdict.convict(
+                        f"d{number} died at {life.ended:.0f}: d{one} does not know it by {by:.0f}"
+                    )
+
+
+def _shows(story: Story, truth: Truth, number: int, first: float, last: float) -> bool:
+    """Whether it told the true digest at some time in this span."""
+    right: dict[int, int] = {}
+    at = bisect_left(story.pages, first, key=lambda page: page.at)
+    for page in story.pages[at:]:
+        if page.at > last:
+            return False
+        if page.source == number and page.digest:
+            bucket = int(page.at // 50.0)
+            if bucket not in right:
+                right[bucket] = truth.digest(page.at)
+            if page.digest == right[bucket]:
+                return True
+    return False
+
+
+def _nobody(story: Story, truth: Truth, verdict: Verdict) -> None:
+    convicted: set[str] = set()
+    for page in story.pages:
+        for name, birth, _, standing, _ in page.told:
+            if standing != Standing.FAILED:
+                continue
+            number = int(name[1:])
+            births = sorted(story.births.get(name, []))
+            lives = story.lives[number]
+            life = (
+                lives[births.index(birth)] if birth in births and births.index(birth) < len(lives) else None
+            )
+            verdict.judged += 1
+            if life is None or page.at >= life.ended:
+                continue
+            if story.troubled(number, page.at - KNOWN_MS, page.at):
+                verdict.excused += 1
+            elif name not in convicted:
+                convicted.add(name)
+                verdict.convict(f"{name} lives and is called dead by d{page.source} at {page.at:.0f}")
+
+
+def _equal(story: Story, truth: Truth, verdict: Verdict) -> None:
+    """Wherever nothing changed for a while, all that live show the true digest at its end."""
+    marks = sorted([*story.changes, story.end])
+    for before, after in pairwise(marks):
+        cut = any(begin < after and end > before for begin, end, _ in story.cuts)
+        halted = any(b < after and e > before for spans in story.stops.values() for b, e in spans)
+        if after - before < KNOWN_MS + QUIET_MS or cut or halted:
+            continue
+        for number in story.living(after - 1.0):
+            verdict.judged += 1
+            if not _shows(story, truth, number, after - 2000.0, after):
+                verdict.convict(f"d{number} holds another roll than the true one at {after:.0f}")
+
+
+def _old(story: Story, truth: Truth, verdict: Verdict) -> None:
+    """A turn is raised by the member alone: nobody who is dead goes on to another."""
+    for page in story.pages:
+        for name, birth, turn, standing, _ in page.told:
+            births = sorted(story.births.get(name, []))
+            if standing != Standing.ALIVE or birth not in births:
+                continue
+            verdict.judged += 1
+            lives = story.lives[int(name[1:])]
+            at = births.index(birth)
+            if at >= len(lives) or page.at < lives[at].ended + 1000.0:
+                continue
+            own = max(t for told, t in truth.turns[(name, birth)] if told <= lives[at].ended + 1000.0)
+            if turn > own:
+                verdict.convict(
+                    f"{name} died at {lives[at].ended:.0f} and lives on in turn {turn} at {page.at:.0f}"
+                )
+
+
+def _unprobed(story: Story, truth: Truth, verdict: Verdict) -> None:
+    probed: dict[tuple[int, int], float] = {}
+    seen: set[tuple[str, str, int, int]] = set()
+    for page in story.pages:
+        if page.kind == "Probe":
+            probed[(page.source, page.to)] = page.at
+        for name, birth, turn, standing, by in page.told:
+            if standing != Standing.SUSPECT or by != f"d{page.source}" or (by, name, birth, turn) in seen:
+                continue
+            seen.add((by, name, birth, turn))
+            verdict.judged += 1
+            at = probed.get((page.source, int(name[1:])), -1e18)
+            if page.at - at > PROBED_MS:
+                verdict.convict(
+                    f"{by} accuses {name} at {page.at:.0f}, not probed in {PROBED_MS / 1000.0:.0f} s"
+                )
+
+
+def _words(story: Story, truth: Truth, verdict: Verdict) -> None:
+    late: dict[int, int] = defaultdict(int)
+    for page in story.pages:
+        if page.kind != "Spoken":
+            continue
+        verdict.judged += 1
+        lives = [one for one in story.lives[page.to] if one.begun <= page.at]
+        gone = bool(lives) and page.at > lives[-1].ended + KNOWN_MS
+        cut = any(begin < page.at and end > page.at - KNOWN_MS for begin, end, _ in story.cuts)
+        late[page.to] += gone and not cut
+    for number, count in late.items():
+        if count:
+            verdict.convict(f"{count} words to d{number} after it was to be known dead")
+
+
+def _rest(story: Story, truth: Truth, verdict: Verdict) -> None:
+    """In the last seconds of a day that nothing changed any more in. Words of the modules are not counted."""
+    first = story.end - QUIET_MS
+    disturbed = any(at > first - QUIET_MS for at in story.changes)
+    if disturbed or not story.pages:
+        return
+    sent: dict[int, int] = defaultdict(int)
+    for page in story.pages:
+        if first <= page.at <= story.end and page.kind != "Spoken":
+            sent[page.source] += page.length
+    for number in story.living(story.end - 1.0):
+        verdict.judged += 1
+        rate = sent[number] / (QUIET_MS / 1000.0)
+        if rate > RESTING_BYTES:
+            verdict.convict(f"d{number} sends {rate:.0f} bytes a second at rest")
+
+
+def figures(folder: Path) -> dict[str, float]:
+    """What the benchmark and the report show of a day: times from deaths and heals, bytes at rest and at
+    most."""
+    story = read(folder)
+    truth = Truth(story)
+    found: dict[str, float] = {}
+    known: list[float] = []
+    for lives in story.lives.values():
+        for life in lives:
+            if life.ended < story.end - KNOWN_MS and not life.left:
+                known += [
+                    _first(story, truth, one, life.ended) for one in story.living(life.ended + KNOWN_MS)
+                ]
+    if known:
+        found |= {"death_first_ms": min(known), "death_last_ms": max(known)}
+    heals = [end for _, end, _ in story.cuts]
+    if heals:
+        back = [_first(story, truth, one, at) for at in heals for one in story.living(at + BACK_MS)]
+        found["heal_last_ms"] = max(back)
+    count = max(1, len(story.living(story.end - 1.0)))
+    by_second: dict[int, int] = defaultdict(int)
+    for page in story.pages:
+        if page.kind != "Spoken":
+            by_second[int((page.at - story.start) // 1000.0)] += page.length
+    ends = int((story.end - story.start) // 1000.0)
+    rest = [by_second[second] for second in range(ends - 5, ends)]
+    found["rest_bytes_s"] = sum(rest) / 5.0 / count
+    found["most_bytes_s"] = max(by_second.values(), default=0) / count
+    return found
+
+
+def _first(story: Story, truth: Truth, number: int, after: float) -> float:
+    at = bisect_left(story.pages, after, key=lambda page: page.at)
+    for page in story.pages[at:]:
+        if page.source == number and page.digest and page.digest == truth.digest(page.at):
+            return page.at - after
+    return 1e9
--- a/cherrygrade/lab/roles.py
+++ b/cherrygrade/lab/roles.py
@@ -12,6 +12,7 @@
 from cherrygrade.standin.node import Build, Node
 from cherrygrade.standin.record import Record
 from cherrygrade.standin.register import Register
+from cherrygrade.standin.ways import Ways
 
 
 async def _until_told() -> None:
@@ -50,6 +51,16 @@
     record.with_suffix(".bytes.json").write_text(json.dumps(held))
 
 
+async def run_ways(count: int, port: int, bound: int, fleet: str, seed: int, record: Path | None) -> None:
+    note = Record(record)
+    ways = Ways(count, port, bound, fleet, seed, note)
+    control = await ways.start("127.0.0.1:0")
+    print(f"listening {control}", flush=True)
+    await _until_told()
+    note.flush()
+    ways.close()
+
+
 async def run_register(listen: str, control: str, record: Path | None) -> None:
     note = Record(record)
     register = Register(listen, 1, note)
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -16,12 +16,24 @@
 from cherrygrade.lab.scenario import Scenario, Trouble, read_scenario, write_site
 from cherrygrade.standin.control import Controller
 from cherrygrade.standin.record import Record
+from cherrygrade.standin.ways import BOUND, TOLD, host
 
 ON_NODES = frozenset(
     {"crash", "silent", "refuse", "resets", "slow", "still", "errors", "untold", "trickle", "drain", "move"}
 )
 ON_REGISTER = frozenset({"lag", "past", "quiet", "drop"})
-ON_DISPATCHERS = frozenset({"stop", "kill", "leave"})
+ON_DISPATCHERS = frozenset({"stop", "kill", "leave", "end"})
+ON_WAYS = {
+    "cut": "cut",
+    "deafen": "deafen",
+    "slow_way": "slow",
+    "lossy": "lost",
+    "doubling": "doubled",
+    "noise": "noise",
+    "reset_ways": "reset",
+}
+FLEET = "lab"
+START_WAVE = 16  # processes that start at once
 DRAIN_MS = 800.0  # from being listed as draining to dying, where the trouble does not say
 
 
@@ -75,9 +87,9 @@
             return await self.process.wait()
 
 
-def free_places(count: int) -> list[str]:
-    """Ports of loopback that nobody has, bound together so that they differ."""
-    holds = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+def free_places(count: int, on: str = "127.0.0.1") -> list[str]:
+    """Ports that nobody has, bound together so that they differ."""
+    holds = [socket.create_server((on, 0)) for _ in range(count)]
     places = [f"127.0.0.1:{hold.getsockname()[1]}" for hold in holds]
     for hold in holds:
         hold.close()
@@ -106,6 +118,9 @@
         self.register = Child("register", folder)
         self.listed = Controller("")
         self.places = free_places(scenario.dispatchers) if scenario.words else []
+        self.ways = Child("ways", folder)
+        self.wayed = Controller("")
+        self.fleet_ports = (0, 0)
 
     def now(self) -> float:
         return asyncio.get_running_loop().time() * 1000.0
@@ -186,8 +201,38 @@
         self.nodes = [*await asyncio.gather(*(node(index) for index in range(len(scenario.nodes))))]
         self.addresses = [f"127.0.0.1:{child.ports[0]}" for child, _ in self.nodes]
         await self._list_all()
+        if scenario.fleet:
+            await self._start_ways()
         self.dispatchers = [Child(f"dispatcher-{number}", folder) for number in range(scenario.dispatchers)]
-        await asyncio.gather(*(self._launch(number) for number in range(scenario.dispatchers)))
+        for first in range(0, scenario.dispatchers, START_WAVE):
+            wave = range(first, min(scenario.dispatchers, first + START_WAVE))
+            await asyncio.gather(*(self._launch(number) for number in wave))
+
+    async def _start_ways(self) -> None:
+        """Two ports that nobody has on any address of loopback: one told, one bound."""
+        told, bound = (int(place.rpartition(":")[2]) for place in free_places(2, "0.0.0.0"))
+        self.fleet_ports = (told, bound)
+        await self.ways.start(
+            "cherrygrade", "standin", "ways",
+            "--count", str(self.scenario.dispatchers), "--port", str(told), "--bound", str(bound),
+            "--fleet", FLEET, "--seed", str(self.scenario.seed), "--record", str(self.folder / "ways.jsonl"),
+        )  # fmt: skip
+        self.wayed = Controller(f"127.0.0.1:{self.ways.ports[0]}")
+        await self.wayed.connect()
+
+    def _fleet(self, number: int) -> dict[str, object] | None:
+        """What the dispatcher is told of its fleet: a few contacts, its own two places."""
+        if not self.scenario.fleet:
+            return None
+        told, bound = self.fleet_ports
+        contacts = [f"{host(TOLD, at)}:{told}" for at in range(min(3, self.scenario.dispatchers))]
+        return {
+            "name": FLEET,
+            "place": f"{host(TOLD, number)}:{told}",
+            "bind": f"{host(BOUND, number)}:{bound}",
+            "contacts": contacts,
+            "zone": f"z{number % 3}",
+        }
 
     async def _list_all(self) -> None:
         """What the register and the nodes have to know before the day."""
@@ -224,6 +269,7 @@
             listen,
             f"127.0.0.1:{self.register.ports[0]}",
             self.places,
+            self._fleet(number),
         )
         await child.start(*self.program, str(file))
         self.note.note("life", number, self.lives[number])
@@ -253,6 +299,8 @@
             await self.listed.say(
                 command, value=trouble.size, for_ms=trouble.for_ms, usual=self.scenario.lag_ms
             )
+        elif trouble.kind in ON_WAYS:
+            await self._way_trouble(trouble)
         elif trouble.kind in ON_DISPATCHERS:
             await asyncio.gather(
                 *(
@@ -262,6 +310,21 @@
                 )
             )
 
+    async def _way_trouble(self, trouble: Trouble) -> None:
+        """On ways between these dispatchers and the others, or on all ways."""
+        on, command = " ".join(str(number) for number in trouble.on), ON_WAYS[trouble.kind]
+        shuts = command in ("cut", "deafen")
+        if shuts:
+            self.note.note("cut", trouble.on)
+        elif trouble.for_ms:
+            self.note.note("rough", trouble.for_ms)
+        await self.wayed.say(command, on=on, size=trouble.size)
+        if trouble.for_ms:
+            await asyncio.sleep(trouble.for_ms / 1000.0)
+            await self.wayed.say("heal" if shuts else command, on=on, size=0.0)
+            if shuts:
+                self.note.note("healed", trouble.on)
+
     async def _node_trouble(self, trouble: Trouble, index: int) -> None:
         _, control = self.nodes[index]
         kind, for_ms = trouble.kind, trouble.for_ms
@@ -294,12 +357,14 @@
             child.send_signal(signal.SIGCONT)
             self.note.note("continued", number)
             return
-        if trouble.kind == "kill":
+        if trouble.kind in ("kill", "end"):
             self.note.note("killed", number, self.lives[number])
             code = await child.end(signal.SIGKILL)
         else:
             self.note.note("told to leave", number, self.lives[number])
             code = await child.end(signal.SIGTERM)
+        if trouble.kind == "end":  # it stays dead
+            return
         self.codes.append([child.name, self.lives[number], trouble.kind, code])
         await asyncio.sleep(trouble.for_ms / 1000.0)
         self.lives[number] += 1
@@ -307,8 +372,13 @@
 
     async def _end(self, loads: list[Child]) -> None:
         await asyncio.gather(*(child.end(signal.SIGKILL) for child in loads))
+        self.note.note("ended")
+        if self.scenario.fleet:
+            await self.ways.end()
         codes = await asyncio.gather(*(child.end() for child in self.dispatchers))
         for number, code in enumerate(codes):
+            if code == -signal.SIGKILL:
+                continue  # ended for good by the day
             self.codes.append([f"dispatcher-{number}", self.lives[number], "end", code])
         await asyncio.gather(*(child.end() for child, _ in self.nodes), self.register.end())
         self.note.note("codes", self.codes)
--- a/cherrygrade/lab/scenario.py
+++ b/cherrygrade/lab/scenario.py
@@ -68,6 +68,7 @@
     site: dict[str, Any]
     ranges: dict[str, RangeVolume] = field(default_factory=dict)
     words: bool = False
+    fleet: bool = False
 
 
 def read_scenario(path: Path, extra: str = "") -> Scenario:
@@ -83,8 +84,10 @@
     listen: str,
     register: str,
     places: Sequence[str] = (),
+    fleet: dict[str, Any] | None = None,
 ) -> Path:
-    """The settings of one dispatcher's life, as a record file; places where words are heard, if any are."""
+    """The settings of one dispatcher's life, as a record file; places where words are heard, if any are;
+    its part of a fleet."""
     place = {
         "name": f"d{number}.{life}",
         "listen": listen,
@@ -99,6 +102,11 @@
         site["words"] = {"places": [*places]}
         site["permits"] = {**site.get("permits", {}), "peers": True}
         site["earnings"] = {**site.get("earnings", {}), "tells_elsewhere": False}
+    if fleet is not None:
+        place["name"] = f"d{number}"  # its births tell its lives apart
+        site["fleet"] = fleet
+        site["permits"] = {**site.get("permits", {}), "peers": True}
+        site["earnings"] = {**site.get("earnings", {}), "tells_elsewhere": False}
     path.write_text(json.dumps({"place": place, **site}, indent=1) + "\n")
     return path
 
--- /dev/null
+++ b/cherrygrade/standin/ways.py
@@ -0,0 +1,255 @@
+"""All ways between dispatchers, as one process: datagrams and streams alike go through it, and meet what a
+day says.
+
+Each dispatcher tells the others a place of its own on loopback (`told`) and listens at another (`bound`);
+what is sent to a told place comes here, whoever it is for, and the sender is known by the place that it
+sends from. What passes is recorded with what it says of members: the audit of the fleet rests on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import struct
+from typing import Any
+
+from cherrygrade.fleet.pages import Answer, Ask, Book, Probe, Push
+from cherrygrade.fleet.roll import Standing
+from cherrygrade.standin.control import open_control, port_of
+from cherrygrade.standin.record import Record
+
+PKTINFO = 8  # of Linux: which local address a datagram came to, or goes from
+BATCH = 64
+TOLD, BOUND = "127.64", "127.32"
+
+
+def host(net: str, number: int) -> str:
+    return f"{net}.{number // 250}.{number % 250 + 1}"
+
+
+def number_of(address: str) -> int:
+    _, _, high, low = address.split(".")
+    return int(high) * 250 + int(low) - 1
+
+
+class Way:
+    """What one direction between two dispatchers does now."""
+
+    __slots__ = ("delay_ms", "doubled", "jitter_ms", "lost", "shut")
+
+    def __init__(self) -> None:
+        self.shut = 0  # how many troubles shut it
+        self.lost = self.doubled = self.delay_ms = self.jitter_ms = 0.0
+
+
+class Ways:
+    """`ways` holds those that something was said of; `streams` end with either side."""
+
+    def __init__(self, count: int, port: int, bound: int, fleet: str, seed: int, record: Record) -> None:
+        self.count, self.port, self.bound, self.record = count, port, bound, record
+        self.book = Book(fleet)
+        self.chance = random.Random(seed)
+        self.ways: dict[tuple[int, int], Way] = {}
+        self.all = Way()
+        self.streams: dict[Pipe, None] = {}
+        self.passed = self.dropped = self.bytes = 0
+        self._told: set[Any] = (
+            set()
+        )  # what members told of themselves: one a member and turn with other facts
+        self._socket: socket.socket | None = None
+        self._server: asyncio.Server | None = None
+        self._control: asyncio.Server | None = None
+
+    async def start(self, control: str) -> int:
+        """Gives the control port."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.IPPROTO_IP, PKTINFO, 1)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024 * 1024)
+        self._socket.setblocking(False)
+        self._socket.bind(("0.0.0.0", self.port))
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket.fileno(), self._read)
+        self._server = await asyncio.start_server(self._stream, "0.0.0.0", self.port)
+        self._control = await open_control(control, self.act)
+        return port_of(self._control)
+
+    def close(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._socket.close()
+        for server in (self._server, self._control):
+            if server is not None:
+                server.close()
+        for pipe in [*self.streams]:
+            pipe.cut()
+
+    # What the laboratory says.
+
+    def act(self, command: str, values: dict[str, Any]) -> str:
+        """`on`: numbers parted by spaces; those between them and the others, or all ways where there are
+        none."""
+        on = {int(part) for part in str(values.get("on", "")).split()}
+        size = float(values.get("size", 0.0))
+        if command == "reset":
+            for pipe in [*self.streams]:
+                if not on or on & {pipe.source, pipe.to}:
+                    pipe.cut()
+            return ""
+        if command == "noise":
+            self._noise(on)
+            return ""
+        for one in self._pairs(on, one_way=command == "deafen" and size > 0.0):
+            way = self.ways.setdefault(one, Way())
+            if command in ("cut", "deafen"):
+                way.shut += 1
+            elif command == "heal":
+                way.shut = max(0, way.shut - 1)
+            elif command == "slow":
+                way.delay_ms, way.jitter_ms = size, size
+            elif command in ("lost", "doubled"):
+                setattr(way, command, size)
+            else:
+                raise ValueError(command)
+        return ""
+
+    def _pairs(self, on: set[int], one_way: bool) -> list[tuple[int, int]]:
+        others = set(range(self.count)) - on
+        if not on:
+            return [(one, other) for one in others for other in others if one != other]
+        out = [(one, other) for one in on for other in others]
+        return out if one_way else out + [(other, one) for one, other in out]
+
+    def _noise(self, on: set[int]) -> None:
+        """Bytes at random, an old version, another fleet's page, a forged one: to these, as if from the
+        first."""
+        stranger = Book("another fleet")
+        forged = Push("nobody", 1, [])
+        loads = [self.chance.randbytes(size) for size in (1, 16, 200, 1400)]
+        loads += [b"cgF0" + self.book.write(forged)[4:], stranger.write(Probe("d0", 9, 1, 1))]
+        for to in on or range(self.count):
+            for load in loads:
+                self._forward(load, (to + 1) % self.count, to)
+
+    # Datagrams.
+
+    def _read(self) -> None:
+        assert self._socket is not None
+        for _ in range(BATCH):
+            try:
+                data, more, _, source = self._socket.recvmsg(2048, 64)
+            except (BlockingIOError, ConnectionError):
+                return
+            to = next((info[8:12] for level, kind, info in more if kind == PKTINFO), b"")
+            if not to or not source[0].startswith(BOUND):
+                continue
+            self._came(data, number_of(source[0]), number_of(socket.inet_ntoa(to)))
+
+    def _came(self, data: bytes, source: int, to: int) -> None:
+        way = self.ways.get((source, to), self.all)
+        lost = bool(way.shut) or self.chance.random() < way.lost
+        self.bytes += len(data)
+        self._note(data, source, to, lost)
+        if lost:
+            self.dropped += 1
+            return
+        for _ in range(1 + (self.chance.random() < way.doubled)):
+            after = way.delay_ms + way.jitter_ms * self.chance.random()
+            if after > 0.0:
+                asyncio.get_running_loop().call_later(after / 1000.0, self._forward, data, source, to)
+            else:
+                self._forward(data, source, to)
+
+    def _forward(self, data: bytes, source: int, to: int) -> None:
+        if self._socket is None:
+            return
+        info = struct.pack("I4s4s", 0, socket.inet_aton(host(TOLD, source)), bytes(4))
+        try:
+            self._socket.sendmsg(
+                [data], [(socket.IPPROTO_IP, PKTINFO, info)], 0, (host(BOUND, to), self.bound)
+            )
+            self.passed += 1
+        except OSError:
+            self.dropped += 1
+
+    def _note(self, data: bytes, source: int, to: int, lost: bool) -> None:
+        """Kind, length, digest; of whom it says more than that they live under their first turn; on whose
+        behalf it probes."""
+        page = self.book.read(data)
+        if page is None:
+            self.record.note("page", source, to, "?", len(data), lost, 0, [], "")
+            return
+        digest = page.digest if isinstance(page, Probe | Answer) else 0
+        news = getattr(page, "news", [])
+        told = [[c.name, c.birth, c.turn, c.standing, c.by] for c in news if c.standing or c.turn or c.facts]
+        if isinstance(page, Probe | Push):
+            for claim in news:
+                if claim.facts is not None and claim.standing != Standing.LEFT:
+                    self._facts(claim)
+        target = page.target.name if isinstance(page, Ask) else ""
+        self.record.note("page", source, to, type(page).__name__, len(data), lost, digest, told, target)
+
+    def _facts(self, claim: Any) -> None:
+        """Once for each thing that a member told of itself."""
+        key = (claim.name, claim.birth, claim.facts)
+        if key not in self._told:
+            self._told.add(key)
+            facts = claim.facts
+            told = [facts.place, facts.zone, facts.version, facts.settings, facts.seat]
+            self.record.note("facts", claim.name, claim.birth, claim.turn, told)
+
+    # Streams.
+
+    async def _stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer, mine = writer.get_extra_info("peername")[0], writer.get_extra_info("sockname")[0]
+        if not (peer.startswith(BOUND) and mine.startswith(TOLD)):
+            writer.close()
+            return
+        source, to = number_of(peer), number_of(mine)
+        way = self.ways.get((source, to), self.all)
+        while way.shut:  # nobody answers
+            await asyncio.sleep(0.05)
+            way = self.ways.get((source, to), self.all)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host(BOUND, to), self.bound)
+        except OSError:
+            writer.transport.abort()
+            return
+        pipe = Pipe(self, source, to, (writer, far_writer))
+        self.streams[pipe] = None
+        try:
+            there = pipe.pump(reader, far_writer, (source, to))
+            back = pipe.pump(far_reader, writer, (to, source))
+            await asyncio.gather(there, back)
+        finally:
+            self.streams.pop(pipe, None)
+            pipe.cut()
+
+
+class Pipe:
+    """One stream that passes."""
+
+    def __init__(self, ways: Ways, source: int, to: int, ends: tuple[asyncio.StreamWriter, ...]) -> None:
+        self.ways, self.source, self.to, self.ends = ways, source, to, ends
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pair: tuple[int, int]
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                way = self.ways.ways.get(pair, self.ways.all)
+                while way.shut:  # half open: it comes once the way is there again
+                    await asyncio.sleep(0.05)
+                    way = self.ways.ways.get(pair, self.ways.all)
+                if way.delay_ms:
+                    await asyncio.sleep((way.delay_ms + way.jitter_ms * self.ways.chance.random()) / 1000.0)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, OSError):
+            self.cut()
+
+    def cut(self) -> None:
+        for end in self.ends:
+            if end.transport is not None and not end.is_closing():
+                end.transport.abort()
