A storm after a heal at 200 processes, found by the rig: news paced and cheaper, who is late accuses nobody

Ruled out: the ways alone (they no longer read what passes; the same). A profile of core.hear names News.pick (a checksum for each item each time), the sorted list of members made anew at each change of standing, and no limit on pushes. Change: one push of 24 items in 250 ms a member; each item's place in the order kept; lists made anew only when somebody comes or goes; one that is overloaded neither accuses nor buries (sides.TABLE said so, probing did not).

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -335,13 +335,17 @@
 def lab_selfcheck(
     *ways: int, scenario: Path = Path("scenarios/selfcheck.rec"), folder: Path = Path("build/selfcheck")
 ) -> int:
-    """Play a short day with a sound dispatcher and with one broken in each of the seven ways.
+    """Play a short day with a sound dispatcher and with one broken in each way that the day is for: the
+    seven rules, or what a fleet promises (scenarios/fleet-selfcheck.rec).
 
     Exit code 0 only if the audit convicts each broken one of its rule, and the sound one of nothing.
     """
+    from cherrygrade.lab.broken import FLEET_WAYS, WAYS
+    from cherrygrade.lab.scenario import read_scenario
     from cherrygrade.lab.selfcheck import check, describe
 
-    right = check(scenario, folder, ways or range(8), lambda *found: print(describe(*found), flush=True))
+    all_ways = (0, *(FLEET_WAYS if read_scenario(scenario).fleet else WAYS))
+    right = check(scenario, folder, ways or all_ways, lambda *found: print(describe(*found), flush=True))
     return 0 if right else 1
 
 
--- a/cherrygrade/fleet/core.py
+++ b/cherrygrade/fleet/core.py
@@ -73,7 +73,7 @@
         me = Claim(name, birth, 0, Standing.ALIVE, facts)
         self.roll = Roll(me, now, max(64, 4 * record), keep_ms)
         self.probing = Probing(self.roll, seed, now, period_ms)
-        self.news, self.exchanges, self.seen = News(), Exchanges(), Seen()
+        self.news, self.exchanges, self.seen = News(seed), Exchanges(), Seen()
         self.keepers = Keepers([facts.seat])
         self.place, self.zone = facts.place, facts.zone
         self.superseded = ""  # who else, born later, has this name: then this one is silent
@@ -84,7 +84,7 @@
         self.helps: dict[int, Help] = {}
         self.talk: dict[str, tuple[float, int]] = {}
         self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
-        self._seen_changes = -1
+        self._seen_comings = -1
         self._contact_at = now
         self._forget_at = now + 1000.0
         self._contacted = 0
@@ -155,8 +155,7 @@
         changed = self._join(claims, by, now)
         if newcomer:
             for name in changed:
-                self.news.items.pop(name, None)
-                self.news.fresh.discard(name)
+                self.news.drop(name)
         self._look(now)
 
     def sent(self, node: int, how: str, now: float) -> None:
@@ -210,9 +209,8 @@
                 help_.denied = True
                 no = Carried(self.name, self.birth, help_.number, help_.target, True)
                 mail.pages.append((help_.place, no))
-        for load in self.news.push(self.roll, now):
-            names = self.probing.some([one.name for one in self.roll.others()], FAN)
-            for name in names:
+        if load := self.news.push(self.roll, now):
+            for name in self.probing.some([one.name for one in self.roll.others()], FAN):
                 facts = self.roll.members[name].facts
                 if facts is not None:
                     mail.pages.append((facts.place, Push(self.name, self.birth, load)))
@@ -271,7 +269,7 @@
                 self._of_itself(claim, now)
             else:
                 news = self.roll.hear(claim, now, by)
-                if self.probing.heard(claim, now) or news:
+                if (news or claim.by) and (self.probing.heard(claim, now) or news):
                     changed.append(claim.name)
                     self.news.add(claim.name, now)
         return changed
@@ -366,9 +364,10 @@
         others = self.roll.others()
         heard_ago = now - self.probing.heard_at if others else ALONE_MS
         self.side = side(self.record, len(others) + 1, heard_ago, self.probing.doubt)
-        if self._seen_changes == self.roll.changes or self.silent:
+        self.probing.accuses = self.side is not Side.OVERLOADED
+        if self._seen_comings == self.roll.comings or self.silent:
             return
-        self._seen_changes = self.roll.changes
+        self._seen_comings = self.roll.comings
         if not self.yielded_to and (to := seats.yields(self.roll)):
             self.yielded_to = to
             self.roll.raise_turn(self.roll.own.turn, now, seat=-1)
--- a/cherrygrade/fleet/probing.py
+++ b/cherrygrade/fleet/probing.py
@@ -59,6 +59,7 @@
     def __init__(self, roll: Roll, seed: int, now: float, period_ms: float = PERIOD_MS) -> None:
         self.roll, self.seed, self.period_ms = roll, seed, period_ms
         self.doubt = 0
+        self.accuses = True  # not while it is late with everything: sides.TABLE
         self.order: list[str] = []
         self.out: Out | None = None
         self.suspects: dict[str, float] = {}
@@ -181,7 +182,7 @@
             if now - self.heard_at < LONGEST_MS:
                 return
         member = self.roll.members.get(out.name)
-        if member is None or member.birth != out.birth or member.heard >= out.at:
+        if member is None or member.birth != out.birth or member.heard >= out.at or not self.accuses:
             return
         if member.living and self.roll.me not in member.witnesses:
             self.accusations += member.standing is Standing.ALIVE
@@ -219,7 +220,9 @@
             member = self.roll.members.get(name)
             if member is None or member.standing is not Standing.SUSPECT:
                 continue
-            if member.heard > member.since:  # it spoke since: its own word on that is on its way
+            # It spoke since, and its own word on that is on its way; or who is late itself leaves it to
+            # others.
+            if member.heard > member.since or not self.accuses:
                 self.suspects[name] = now + LEAST_MS
                 continue
             self.deaths += 1
--- a/cherrygrade/fleet/roll.py
+++ b/cherrygrade/fleet/roll.py
@@ -102,7 +102,7 @@
         self.me, self.most, self.keep_ms = me.name, most, keep_ms
         self.members: dict[str, Member] = {}
         self.gone: OrderedDict[str, tuple[int, int]] = OrderedDict()
-        self.changes = 0  # counts what changed, so that others know when to look again
+        self.comings = 0  # counts who came, went, or told other facts: what hangs on it looks again then
         self.dropped = 0
         self._digest = 0
         self._others: tuple[int, list[Member]] = (-1, [])  # made anew after changes
@@ -123,9 +123,9 @@
 
     def others(self) -> list[Member]:
         """Those of the living that can be reached."""
-        if self._others[0] != self.changes:
+        if self._others[0] != self.comings:
             found = [one for one in self.living() if one.name != self.me and one.facts is not None]
-            self._others = (self.changes, found)
+            self._others = (self.comings, found)
         return self._others[1]
 
     @property
@@ -150,6 +150,7 @@
         if not (news or lacking):
             return False
         self._count_out(member)
+        before = (member.living, member.facts, member.birth)
         if claim.birth > member.birth:  # another life: nothing of the one before holds
             member = self.members[claim.name] = Member(claim, now, by)
         else:
@@ -162,6 +163,7 @@
                     member.since, member.by = now, by
                 member.turn, member.standing = claim.turn, Standing(claim.standing)
         self._count_in(member)
+        self.comings += before != (member.living, member.facts, member.birth)
         return True
 
     def raise_turn(self, above: int, now: float, seat: int | None = None) -> Claim:
@@ -199,22 +201,22 @@
         self.gone.pop(claim.name, None)
         member = self.members[claim.name] = Member(claim, now, by)
         self._count_in(member)
+        self.comings += 1
         return True
 
     def _drop(self, name: str) -> None:
         member = self.members.pop(name)
         self._count_out(member)
+        self.comings += 1
         self.gone[name] = (member.birth, member.turn)
         while len(self.gone) > MOST_GONE:
             self.gone.popitem(last=False)
 
     def _count_in(self, member: Member) -> None:
-        self.changes += 1
         if member.living and member.facts is not None:
             self._digest ^= member.mark()
 
     def _count_out(self, member: Member) -> None:
-        self.changes += 1
         if member.living and member.facts is not None:
             self._digest ^= member.mark()
 
--- a/cherrygrade/fleet/telling.py
+++ b/cherrygrade/fleet/telling.py
@@ -12,13 +12,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from heapq import nsmallest
 from math import ceil, log2
+from zlib import crc32
 
 from cherrygrade.fleet.roll import Claim, Roll
 
 TELL_FACTOR = 1.0  # an item is told so many times the logarithm of the fleet's size, then no more
 FAN = 3  # who gets a datagram of fresh news
 PUSH_MS = 50.0  # fresh news waits so long for more of it
+AGAIN_MS = 250.0  # between two pushes of one member: guards against a storm when much is news at once
+NEVER = 1e15
 MOST_ITEMS = 24  # of news on one datagram
 DIFFER_MS = 1000.0  # digests have to differ for so long: news under way explains less than that
 EXCHANGE_MS = 1000.0  # between two exchanges that this member begins
@@ -28,39 +32,58 @@
     """`items`: names of whom there is news, and how many times it was told. Emptied by telling, and by new
     news."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
         self.items: dict[str, int] = {}
+        self._places: dict[str, int] = {}  # each name's place in this member's order; goes with its item
         self.fresh: set[str] = set()  # not pushed yet; emptied by pushes
-        self.push_at = 1e15
+        self.push_at = NEVER
+        self._pushed_at = -NEVER
 
     def add(self, name: str, now: float) -> None:
         self.items[name] = 0
+        if name not in self._places:
+            self._places[name] = crc32(f"{self.seed}:{name}".encode())
         self.fresh.add(name)
-        self.push_at = min(self.push_at, now + PUSH_MS)
+        self.push_at = min(self.push_at, max(now + PUSH_MS, self._pushed_at + AGAIN_MS))
+
+    def drop(self, name: str) -> None:
+        """Others know it."""
+        if self.items.pop(name, None) is not None:
+            del self._places[name]
+        self.fresh.discard(name)
+
+    def _order(self, name: str) -> tuple[int, int]:
+        """What was told least goes first; else each member has an order of its own, so that not all tell the
+        same few of many."""
+        return self.items.get(name, 0), self._places.get(name, 0)
 
     def pick(self, roll: Roll, most: int = MOST_ITEMS, first: Iterable[str] = ()) -> list[Claim]:
         """What goes along with a datagram: `first` before all, then what was told least."""
         limit = ceil(TELL_FACTOR * log2(len(roll.members) + 1))
-        names = [name for name in dict.fromkeys(first) if name in roll.members]
-        told = self.items
-        names += sorted((name for name in told if name not in names), key=lambda name: (told[name], name))
+        names = [name for name in dict.fromkeys(first) if name in roll.members][:most]
+        rest = [name for name in self.items if name not in names] if names else self.items
+        names += nsmallest(most - len(names), rest, key=self._order)
         claims = []
-        for name in names[:most]:
+        for name in names:
             if name in self.items:
                 self.items[name] += 1
                 if self.items[name] >= limit or name not in roll.members:
-                    del self.items[name]
+                    del self.items[name], self._places[name]
             if name in roll.members:
                 claims.append(roll.members[name].claim())
         return claims
 
-    def push(self, roll: Roll, now: float) -> list[list[Claim]]:
-        """Datagrams' loads of fresh news, once it is time; each goes to FAN others."""
+    def push(self, roll: Roll, now: float) -> list[Claim]:
+        """One datagram's load of fresh news, once it is time; what does not fit waits for the next."""
         if now < self.push_at:
             return []
-        names, self.fresh, self.push_at = sorted(self.fresh & self.items.keys()), set(), 1e15
-        loads = [names[at : at + MOST_ITEMS] for at in range(0, len(names), MOST_ITEMS)]
-        return [self.pick(roll, len(load), load) for load in loads]
+        self.fresh &= self.items.keys()
+        load = nsmallest(MOST_ITEMS, self.fresh, key=self._order)
+        self.fresh -= {*load}
+        self._pushed_at = now
+        self.push_at = now + AGAIN_MS if self.fresh else NEVER
+        return self.pick(roll, len(load), load)
 
 
 class Exchanges:
--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/broken.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+from cherrygrade import policy
+from cherrygrade.fleet import core, keepers, probing, roll, seats
 from cherrygrade.gateway import roster
 from cherrygrade.gateway.life import serve
 from cherrygrade.gateway.process import Gateway
@@ -19,7 +22,7 @@
 from cherrygrade.logs import make_log
 from cherrygrade.policy import NEVER, Gate
 from cherrygrade.records.load import read_site
-from cherrygrade.site import Site, Trade, Volume
+from cherrygrade.site import Origin, Site, Trade, Volume
 
 
 def _loses(site: Site) -> Site:
@@ -88,8 +91,107 @@
 }
 
 
+# Of a fleet.
+
+
+def _older(site: Site) -> Site:
+    """Any list of the register's is taken for newer than what is known."""
+    usual = roster.Book.hear
+
+    def hear(self: roster.Book, roster: Any, now: float) -> Any:
+        self.version = -1
+        return usual(self, roster, now)
+
+    roster.Book.hear = hear  # type: ignore[method-assign]
+    return site
+
+
+def _grows(site: Site) -> Site:
+    """Whoever is not on the roll any more leaves its part of a limit to those who are."""
+    usual = policy.Dispatcher.decide
+
+    def decide(self: policy.Dispatcher, now: float, writer: Any, **came: Any) -> None:
+        core = getattr(self.company, "core", None)
+        if core is not None:
+            for volume in self.volumes.values():
+                volume.hosts = max(1, len(core.roll.living()))
+        usual(self, now, writer, **came)
+
+    policy.Dispatcher.decide = decide  # type: ignore[method-assign]
+    return site
+
+
+def _buries_nobody(site: Site) -> Site:
+    """Who is suspect stays so."""
+    probing.Probing._bury = lambda self, now, does: self.suspects.clear()  # type: ignore[method-assign]
+    return site
+
+
+def _raises(site: Site) -> Site:
+    """Word of a death is answered with a new turn of the dead."""
+    usual = core.Core._join
+
+    def join(self: core.Core, claims: list[roll.Claim], by: str, now: float) -> list[str]:
+        claims = [
+            roll.Claim(one.name, one.birth, one.turn + 1, roll.Standing.ALIVE, one.facts)
+            if one.standing == roll.Standing.FAILED
+            else one
+            for one in claims
+        ]
+        return usual(self, claims, by, now)
+
+    core.Core._join = join  # type: ignore[method-assign]
+    return site
+
+
+def _accuses(site: Site) -> Site:
+    """Now and then somebody is called suspect who was not probed."""
+    usual = probing.Probing.beat
+
+    def beat(self: probing.Probing, now: float) -> probing.Does:
+        does = usual(self, now)
+        others = [one for one in self.roll.others() if self.out is None or one.name != self.out.name]
+        if others and self.count % 5 == 0:
+            one = min(others, key=lambda one: one.heard)
+            claim = roll.Claim(one.name, one.birth, one.turn, roll.Standing.SUSPECT, by=self.roll.me)
+            self.roll.hear(claim, now, self.roll.me)
+            self.heard(claim, now)
+            does.news.append(one.name)
+        return does
+
+    probing.Probing.beat = beat  # type: ignore[method-assign]
+    return site
+
+
+def _stuck(site: Site) -> Site:
+    """Nodes keep the keepers that they had when all were there."""
+
+    def living(self: keepers.Keepers, seats: Any, now: float) -> bool:
+        self.seats = tuple(sorted({*self.seats, *seats}))
+        return False
+
+    keepers.Keepers.living = living  # type: ignore[method-assign]
+
+    def holder(roll: roll.Roll, seat: int) -> roll.Member | None:
+        return next((one for one in roll if one.seat == seat), None)
+
+    seats.holder = holder
+    return site
+
+
+FLEET_WAYS: dict[int, Callable[[Site], Site]] = {
+    3: _older,
+    7: _grows,
+    11: _buries_nobody,
+    14: _raises,
+    15: _accuses,
+    16: _stuck,
+}
+
+
 def main() -> int:
-    site = WAYS[int(sys.argv[1])](read_site(Path(sys.argv[2])))
+    site = read_site(Path(sys.argv[2]))
+    site = (WAYS if site.fleet is None else FLEET_WAYS)[int(sys.argv[1])](site)
 
     async def run() -> int:
         gateway = Gateway(
@@ -101,6 +203,8 @@
             make_log("json"),
             cuts=site.cuts,
             pace=site.pace,
+            fleet=site.fleet,
+            origin=Origin(int(time.time() * 1000.0)),
         )
         return await serve(gateway, lambda port: print(f"listening {port}", flush=True))
 
--- a/cherrygrade/lab/fleetaudit.py
+++ b/cherrygrade/lab/fleetaudit.py
@@ -10,13 +10,15 @@
 import json
 from bisect import bisect_left
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import pairwise
 from pathlib import Path
-from typing import Any
 
+from cherrygrade.fleet.pages import Ask, Book
 from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
 from cherrygrade.lab.audit import Verdict, lines
+from cherrygrade.standin.ways import ENTRY, FLEET
 
 KNOWN_MS = 7000.0  # from a death to all that live knowing it, in processes on one machine
 BACK_MS = 5000.0  # from a heal, or a start, to all rolls being whole again
@@ -24,6 +26,7 @@
 QUIET_MS = 5000.0
 PROBED_MS = 6000.0  # an accusation comes this soon behind a probe of the accuser's
 RESTING_BYTES = 2048.0  # a member's bytes a second at rest
+GRAIN_MS = 20.0
 PROMISES = (11, 12, 13, 14, 15, 16, 17)
 
 
@@ -46,8 +49,8 @@
     length: int
     lost: bool
     digest: int
-    told: list[list[Any]]
-    target: str
+    told: list[tuple[str, int, int, int, str]] = field(default_factory=list)
+    target: str = ""
 
 
 @dataclass(slots=True)
@@ -56,6 +59,7 @@
 
     lives: dict[int, list[Life]] = field(default_factory=lambda: defaultdict(list))
     pages: list[Page] = field(default_factory=list)
+    by_source: dict[int, list[Page]] = field(default_factory=lambda: defaultdict(list))
     facts: dict[tuple[str, int], list[tuple[int, Facts]]] = field(default_factory=lambda: defaultdict(list))
     births: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     stops: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
@@ -105,22 +109,47 @@
             story.changes.append(at + facts[0])
         elif event == "ended":
             story.end = at
-    for at, event, *facts in lines(folder / "ways.jsonl"):
-        if event == "page":
-            story.pages.append(Page(at, *facts))
-        elif event == "facts":
-            name, birth, turn, told = facts
-            story.facts[(name, birth)].append((turn, Facts(*told)))
-            if birth not in story.births[name]:
-                story.births[name].append(birth)
+    book = Book(FLEET)
+    for at, source, to, lost, data in datagrams(folder / "ways.log"):
+        said = book.read(data)
+        page = Page(at, source, to, type(said).__name__, len(data), lost, getattr(said, "digest", 0))
+        if said is not None and said.name == f"d{source}" and said.birth not in story.births[said.name]:
+            story.births[said.name].append(said.birth)  # by its own word, from its own place
+        if isinstance(said, Ask):
+            page.target = said.target.name
+        for claim in getattr(said, "news", []):
+            page.told.append((claim.name, claim.birth, claim.turn, claim.standing, claim.by))
+            _facts(story, claim)
+        story.pages.append(page)
+        story.by_source[source].append(page)
     return story
 
 
+def datagrams(file: Path) -> Iterator[tuple[float, int, int, bool, bytes]]:
+    data, at = file.read_bytes() if file.exists() else b"", 0
+    while at + ENTRY.size <= len(data):
+        when, source, to, lost, length = ENTRY.unpack_from(data, at)
+        at += ENTRY.size + length
+        yield when, source, to, lost, data[at - length : at]
+
+
+def _facts(story: Story, claim: Claim) -> None:
+    """What a member told of itself, whoever passes it on; a name that no process had is a lie of the
+    day's."""
+    if claim.facts is None or claim.standing == Standing.LEFT or not claim.name[1:].isdigit():
+        return
+    told = story.facts[(claim.name, claim.birth)]
+    if (claim.turn, claim.facts) not in told:
+        told.append((claim.turn, claim.facts))
+
+
 class Truth:
     """Which digest the roll of all that live has: marks by member, under the turn that it told last."""
 
     def __init__(self, story: Story) -> None:
         self.story = story
+        self._digests: dict[int, int] = {}  # by grain of time
+        self._marks: dict[tuple[str, int, int], int] = {}
         self.turns: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(lambda: [(0.0, 0)])
         for page in story.pages:
             for name, birth, turn, standing, _ in page.told:
@@ -129,19 +158,30 @@
                     known.append((page.at, turn))
 
     def digest(self, at: float) -> int:
+        """At the beginning of this grain of time; -1 where somebody's first word is not out yet."""
+        grain = int(at // GRAIN_MS)
+        if grain not in self._digests:
+            self._digests[grain] = self._digest(grain * GRAIN_MS)
+        return self._digests[grain]
+
+    def _digest(self, at: float) -> int:
         found = 0
         for number in self.story.living(at):
             name = f"d{number}"
             births = sorted(self.story.births.get(name, []))
             lives = [one for one in self.story.lives[number] if one.begun <= at]
             if len(births) < len(lives):
-                return -1  # its first word is not out yet
+                return -1
             birth = births[len(lives) - 1]
             turn = max(turn for told, turn in self.turns[(name, birth)] if told <= at)
-            facts = max(
-                (one for one in self.story.facts[(name, birth)] if one[0] <= turn), key=lambda one: one[0]
-            )
-            found ^= Member(Claim(name, birth, turn, Standing.ALIVE, facts[1]), 0.0, "").mark()
+            key = (name, birth, turn)
+            if key not in self._marks:
+                facts = [one for one in self.story.facts[(name, birth)] if one[0] <= turn]
+                if not facts:
+                    return -1
+                claim = Claim(name, birth, turn, Standing.ALIVE, max(facts, key=lambda one: one[0])[1])
+                self._marks[key] = Member(claim, 0.0, "").mark()
+            found ^= self._marks[key]
         return found
 
 
@@ -177,17 +217,12 @@
 
 def _shows(story: Story, truth: Truth, number: int, first: float, last: float) -> bool:
     """Whether it told the true digest at some time in this span."""
-    right: dict[int, int] = {}
-    at = bisect_left(story.pages, first, key=lambda page: page.at)
-    for page in story.pages[at:]:
+    pages = story.by_source[number]
+    for page in pages[bisect_left(pages, first, key=lambda page: page.at) :]:
         if page.at > last:
-            return False
-        if page.source == number and page.digest:
-            bucket = int(page.at // 50.0)
-            if bucket not in right:
-                right[bucket] = truth.digest(page.at)
-            if page.digest == right[bucket]:
-                return True
+            break
+        if page.digest and page.digest == truth.digest(page.at):
+            return True
     return False
 
 
@@ -328,8 +363,8 @@
 
 
 def _first(story: Story, truth: Truth, number: int, after: float) -> float:
-    at = bisect_left(story.pages, after, key=lambda page: page.at)
-    for page in story.pages[at:]:
-        if page.source == number and page.digest and page.digest == truth.digest(page.at):
+    pages = story.by_source[number]
+    for page in pages[bisect_left(pages, after, key=lambda page: page.at) :]:
+        if page.digest and page.digest == truth.digest(page.at):
             return page.at - after
     return 1e9
--- a/cherrygrade/lab/roles.py
+++ b/cherrygrade/lab/roles.py
@@ -52,12 +52,10 @@
 
 
 async def run_ways(count: int, port: int, bound: int, fleet: str, seed: int, record: Path | None) -> None:
-    note = Record(record)
-    ways = Ways(count, port, bound, fleet, seed, note)
+    ways = Ways(count, port, bound, fleet, seed, record)
     control = await ways.start("127.0.0.1:0")
     print(f"listening {control}", flush=True)
     await _until_told()
-    note.flush()
     ways.close()
 
 
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -16,7 +16,7 @@
 from cherrygrade.lab.scenario import Scenario, Trouble, read_scenario, write_site
 from cherrygrade.standin.control import Controller
 from cherrygrade.standin.record import Record
-from cherrygrade.standin.ways import BOUND, TOLD, host
+from cherrygrade.standin.ways import BOUND, FLEET, TOLD, host
 
 ON_NODES = frozenset(
     {"crash", "silent", "refuse", "resets", "slow", "still", "errors", "untold", "trickle", "drain", "move"}
@@ -32,7 +32,6 @@
     "noise": "noise",
     "reset_ways": "reset",
 }
-FLEET = "lab"
 START_WAVE = 16  # processes that start at once
 DRAIN_MS = 800.0  # from being listed as draining to dying, where the trouble does not say
 
@@ -215,7 +214,7 @@
         await self.ways.start(
             "cherrygrade", "standin", "ways",
             "--count", str(self.scenario.dispatchers), "--port", str(told), "--bound", str(bound),
-            "--fleet", FLEET, "--seed", str(self.scenario.seed), "--record", str(self.folder / "ways.jsonl"),
+            "--fleet", FLEET, "--seed", str(self.scenario.seed), "--record", str(self.folder / "ways.log"),
         )  # fmt: skip
         self.wayed = Controller(f"127.0.0.1:{self.ways.ports[0]}")
         await self.wayed.connect()
@@ -374,7 +373,7 @@
         await asyncio.gather(*(child.end(signal.SIGKILL) for child in loads))
         self.note.note("ended")
         if self.scenario.fleet:
-            await self.ways.end()
+            await self.ways.end(signal.SIGTERM, 30.0)
         codes = await asyncio.gather(*(child.end() for child in self.dispatchers))
         for number, code in enumerate(codes):
             if code == -signal.SIGKILL:
--- a/cherrygrade/lab/selfcheck.py
+++ b/cherrygrade/lab/selfcheck.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
+from cherrygrade.lab import fleetaudit
 from cherrygrade.lab.audit import RULES, Verdict, judge
 from cherrygrade.lab.run import Day
 from cherrygrade.lab.scenario import read_scenario
@@ -28,6 +29,7 @@
         async with slots:
             await Day(scenario, file, "", place, program, lambda what, part: None).play()
         verdicts, _ = judge(scenario, place)
+        verdicts += fleetaudit.judge(place) if scenario.fleet else []
         broken = {verdict.rule for verdict in verdicts if verdict.broken}
         right = way in broken if way else not broken
         told(way, right, verdicts)
--- a/cherrygrade/standin/ways.py
+++ b/cherrygrade/standin/ways.py
@@ -12,15 +12,16 @@
 import random
 import socket
 import struct
+from pathlib import Path
 from typing import Any
 
-from cherrygrade.fleet.pages import Answer, Ask, Book, Probe, Push
-from cherrygrade.fleet.roll import Standing
+from cherrygrade.fleet.pages import Book, Probe, Push
 from cherrygrade.standin.control import open_control, port_of
-from cherrygrade.standin.record import Record
 
+ENTRY = struct.Struct(">dHH?H")  # of the log: when, from, to, whether it was lost, bytes that follow
 PKTINFO = 8  # of Linux: which local address a datagram came to, or goes from
 BATCH = 64
+FLEET = "lab"
 TOLD, BOUND = "127.64", "127.32"
 
 
@@ -46,17 +47,15 @@
 class Ways:
     """`ways` holds those that something was said of; `streams` end with either side."""
 
-    def __init__(self, count: int, port: int, bound: int, fleet: str, seed: int, record: Record) -> None:
-        self.count, self.port, self.bound, self.record = count, port, bound, record
+    def __init__(self, count: int, port: int, bound: int, fleet: str, seed: int, log: Path | None) -> None:
+        self.count, self.port, self.bound = count, port, bound
         self.book = Book(fleet)
         self.chance = random.Random(seed)
         self.ways: dict[tuple[int, int], Way] = {}
         self.all = Way()
         self.streams: dict[Pipe, None] = {}
         self.passed = self.dropped = self.bytes = 0
-        self._told: set[Any] = (
-            set()
-        )  # what members told of themselves: one a member and turn with other facts
+        self._log = log.open("wb", buffering=1 << 20) if log is not None else None
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._control: asyncio.Server | None = None
@@ -83,6 +82,8 @@
                 server.close()
         for pipe in [*self.streams]:
             pipe.cut()
+        if self._log is not None:
+            self._log.close()
 
     # What the laboratory says.
 
@@ -173,30 +174,10 @@
             self.dropped += 1
 
     def _note(self, data: bytes, source: int, to: int, lost: bool) -> None:
-        """Kind, length, digest; of whom it says more than that they live under their first turn; on whose
-        behalf it probes."""
-        page = self.book.read(data)
-        if page is None:
-            self.record.note("page", source, to, "?", len(data), lost, 0, [], "")
-            return
-        digest = page.digest if isinstance(page, Probe | Answer) else 0
-        news = getattr(page, "news", [])
-        told = [[c.name, c.birth, c.turn, c.standing, c.by] for c in news if c.standing or c.turn or c.facts]
-        if isinstance(page, Probe | Push):
-            for claim in news:
-                if claim.facts is not None and claim.standing != Standing.LEFT:
-                    self._facts(claim)
-        target = page.target.name if isinstance(page, Ask) else ""
-        self.record.note("page", source, to, type(page).__name__, len(data), lost, digest, told, target)
-
-    def _facts(self, claim: Any) -> None:
-        """Once for each thing that a member told of itself."""
-        key = (claim.name, claim.birth, claim.facts)
-        if key not in self._told:
-            self._told.add(key)
-            facts = claim.facts
-            told = [facts.place, facts.zone, facts.version, facts.settings, facts.seat]
-            self.record.note("facts", claim.name, claim.birth, claim.turn, told)
+        """As it is: it is read by the audit, not here, so that the ways keep up with a fleet of hundreds."""
+        if self._log is not None:
+            now = asyncio.get_running_loop().time() * 1000.0
+            self._log.write(ENTRY.pack(now, source, to, lost, len(data)) + data)
 
     # Streams.
 
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -6,10 +6,10 @@
 import asyncio
 
 import pytest
-from yard import Yard, play
 
 from cherrygrade.fleet.roll import Standing
 from cherrygrade.fleet.sides import Side
+from cherrygrade.lab.yard import Yard, play
 from cherrygrade.virtual.datagrams import Rain
 
 KNOWN_MS = 5000.0  # a death is known to all within this
