--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/broken.py
@@ -167,7 +167,10 @@
     """Nodes keep the keepers that they had when all were there."""
 
     def living(self: keepers.Keepers, seats: Any, now: float) -> bool:
-        self.seats = tuple(sorted({*self.seats, *seats}))
+        seats = [*seats]
+        if not {*seats} <= {*self.seats}:
+            self.seats = tuple(sorted({*self.seats, *seats}))
+            self._told.clear()
         return False
 
     keepers.Keepers.living = living  # type: ignore[method-assign]
