--- a/cherrygrade/fleet/probing.py
+++ b/cherrygrade/fleet/probing.py
@@ -29,7 +29,7 @@
 CONFIRM = 2  # others that shorten it all the way
 MOST_DOUBT = 8
 LATE_MS = 300.0  # a beat so much too late: this process stood still
-KNOCK_MS = 700.0  # one of the dead is tried this often: it may only have been cut off
+KNOCK_MS = 2000.0  # one of the dead is tried this often: it may only have been cut off
 
 
 @dataclass(slots=True)
