Fleet reread: one way to mail a member, dead names and fields out, the ways' page says what they record

Mail.to stands for six looks at whether a member's place is known. Taken out: core's imports and __all__ for nobody, Help.asker, Core.zone, Party.record, Story.rough; the period's default is probing's.

--- a/cherrygrade/fleet/core.py
+++ b/cherrygrade/fleet/core.py
@@ -12,8 +12,8 @@
 
 from cherrygrade.fleet import seats
 from cherrygrade.fleet.keepers import Keepers
-from cherrygrade.fleet.pages import Answer, Any_, Ask, Carried, Page, Probe, Push, Spoken
-from cherrygrade.fleet.probing import DIRECT_MS, HELPERS, STALL_MS, Does, Probing
+from cherrygrade.fleet.pages import Answer, Any_, Ask, Carried, Probe, Push, Spoken
+from cherrygrade.fleet.probing import DIRECT_MS, PERIOD_MS, Does, Probing
 from cherrygrade.fleet.roll import Claim, Facts, Member, Roll, Standing, sound
 from cherrygrade.fleet.seen import Seen
 from cherrygrade.fleet.sides import ALONE_MS, TABLE, Follows, Side, side
@@ -38,12 +38,16 @@
     exchange: list[tuple[str, str]] = field(default_factory=list)
     words: list[tuple[int, bytes]] = field(default_factory=list)
 
+    def to(self, member: Member, page: Any_) -> None:
+        """Nowhere, where it is not known yet where the member is."""
+        if member.facts is not None:
+            self.pages.append((member.facts.place, page))
+
 
 @dataclass(slots=True)
 class Help:
-    """A probe made for another: whose, under which number; `place`: where it waits."""
+    """A probe made for another, under its number; `place`: where it waits."""
 
-    asker: str
     number: int
     target: str
     at: float
@@ -64,7 +68,7 @@
         contacts: Iterable[str],
         seed: int,
         now: float,
-        period_ms: float = 400.0,
+        period_ms: float = PERIOD_MS,
         keep_ms: float = KEEP_MS,
     ) -> None:
         self.name, self.birth, self.record, self.seed = name, birth, record, seed
@@ -75,7 +79,7 @@
         self.probing = Probing(self.roll, seed, now, period_ms)
         self.news, self.exchanges, self.seen = News(seed), Exchanges(), Seen()
         self.keepers = Keepers([facts.seat])
-        self.place, self.zone = facts.place, facts.zone
+        self.place = facts.place
         self.superseded = ""  # who else, born later, has this name: then this one is silent
         self.left = False
         self.yielded_to = ""
@@ -170,11 +174,12 @@
             return mail
         page = Spoken(self.name, self.birth, own.seat, payload)
         if seat is None:
-            mail.pages += [(one.facts.place, page) for one in self.roll.others() if one.facts]
+            for one in self.roll.others():
+                mail.to(one, page)
         else:
             found = seats.holder(self.roll, seat)
-            if found is not None and found.name != self.name and found.facts is not None:
-                mail.pages.append((found.facts.place, page))
+            if found is not None and found.name != self.name:
+                mail.to(found, page)
         return mail
 
     def leave(self, now: float) -> Mail:
@@ -187,9 +192,7 @@
         others = self.probing.some([one.name for one in self.roll.others()], 3 * FAN)
         page = Push(self.name, self.birth, [claim])
         for name in others:
-            facts = self.roll.members[name].facts
-            if facts is not None:
-                mail.pages.append((facts.place, page))
+            mail.to(self.roll.members[name], page)
         self.left = True
         return mail
 
@@ -211,9 +214,7 @@
                 mail.pages.append((help_.place, no))
         if load := self.news.push(self.roll, now):
             for name in self.probing.some([one.name for one in self.roll.others()], FAN):
-                facts = self.roll.members[name].facts
-                if facts is not None:
-                    mail.pages.append((facts.place, Push(self.name, self.birth, load)))
+                mail.to(self.roll.members[name], Push(self.name, self.birth, load))
         if now >= self._contact_at:
             self._contact(mail, now)
         if now >= self._forget_at:
@@ -238,12 +239,11 @@
         for member, number in does.probe:
             if member.facts is not None:
                 news = self._carry(member.name)
-                page = Probe(self.name, self.birth, number, self.roll.digest, news, met)
-                mail.pages.append((member.facts.place, page))
+                mail.to(member, Probe(self.name, self.birth, number, self.roll.digest, news, met))
         for helper, target, number in does.ask:
-            if helper.facts is not None and target.facts is not None:
-                ask = Ask(self.name, self.birth, number, target.claim(False), target.facts.place)
-                mail.pages.append((helper.facts.place, ask))
+            if target.facts is not None:
+                place = target.facts.place
+                mail.to(helper, Ask(self.name, self.birth, number, target.claim(False), place))
 
     def _contact(self, mail: Mail, now: float) -> None:
         """Contact points are probed without being known, often while nobody else is."""
@@ -322,7 +322,7 @@
         if len(self.helps) >= MOST_HELP or ask.target.name == self.name:
             return
         number = self._number()
-        self.helps[number] = Help(ask.name, ask.number, ask.target.name, now, place)
+        self.helps[number] = Help(ask.number, ask.target.name, now, place)
         known = self.roll.members.get(ask.target.name)
         at = known.facts.place if known is not None and known.facts is not None else ask.place
         news = [ask.target] if ask.target.standing > Standing.ALIVE else []
@@ -374,5 +374,3 @@
             self.news.add(self.name, now)
         self.keepers.living((one.seat for one in self.roll if one.living and one.seat >= 0), now)
 
-
-__all__ = ["HELPERS", "STALL_MS", "Core", "Mail", "Page"]
--- a/cherrygrade/fleet/party.py
+++ b/cherrygrade/fleet/party.py
@@ -68,7 +68,7 @@
         heard: Callable[[int, bytes], None],
         log: Callable[..., None],
     ) -> None:
-        self.fleet, self.name, self.record, self.clock = fleet, name, record, clock
+        self.fleet, self.name, self.clock = fleet, name, clock
         self._heard, self._log = heard, log
         self.book = Book(fleet.name)
         own = Facts(fleet.place, fleet.zone, origin.version, origin.settings, seat)
--- a/cherrygrade/lab/fleetaudit.py
+++ b/cherrygrade/lab/fleetaudit.py
@@ -64,7 +64,6 @@
     births: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     stops: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     cuts: list[tuple[float, float, set[int]]] = field(default_factory=list)
-    rough: list[tuple[float, float]] = field(default_factory=list)
     changes: list[float] = field(default_factory=list)
     start: float = 0.0
     end: float = 0.0
@@ -105,7 +104,6 @@
             story.cuts.append((begun, at, on))
             story.changes.append(at)
         elif event == "rough":
-            story.rough.append((at, at + facts[0]))
             story.changes.append(at + facts[0])
         elif event == "ended":
             story.end = at
--- a/cherrygrade/standin/ways.py
+++ b/cherrygrade/standin/ways.py
@@ -3,7 +3,7 @@
 
 Each dispatcher tells the others a place of its own on loopback (`told`) and listens at another (`bound`);
 what is sent to a told place comes here, whoever it is for, and the sender is known by the place that it
-sends from. What passes is recorded with what it says of members: the audit of the fleet rests on it.
+sends from. What passes is recorded as it is: the audit of the fleet rests on it.
 """
 
 from __future__ import annotations
