The circle around a dispatcher is open: what hangs on it is told narrow protocols, arrows run one way

Cause: seven files around Gateway, three of the platform's and two of virtual time knew each other in a circle, eight of those arrows for types alone; extents/ and peers/ looked up to gateway/. Change: an RPC as it is held stands below all that carry it (held.py) and tells what its client and its range have to be (Asker, Whole); sessions, ranges, the slow-peer watch and the platform's visits each tell what they need of their dispatcher as a protocol of their own (House; Line and Client). Rooms went to peers/, and are told by the module which workloads are pressed.

--- a/cherrygrade/extents/carrier.py
+++ b/cherrygrade/extents/carrier.py
@@ -8,31 +8,84 @@
 import asyncio
 from collections.abc import Callable
 from itertools import pairwise
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from cherrygrade.extents.hold import Company
 from cherrygrade.extents.map import NOWHERE, ExtentMap, Stretch
 from cherrygrade.extents.parent import End, Parent, Piece
-from cherrygrade.gateway.held import Held
+from cherrygrade.held import Asker, Body, Held, Whole
 from cherrygrade.interface import Effect
 from cherrygrade.peers.ladder import Step
+from cherrygrade.peers.rooms import Rooms
 from cherrygrade.peers.store import Claim, waits
-from cherrygrade.site import Cuts
+from cherrygrade.site import Cuts, Trade
 from cherrygrade.wire.messages import Errored, MapPart, Ok, Part, ReadRpc, Rejected, WriteRpc
 
-if TYPE_CHECKING:
-    from cherrygrade.gateway.process import Gateway
-    from cherrygrade.gateway.sessions import Session
-
 ASK_AGAIN_MS = 250.0
 PARTS = "parts"  # the feature of clients that take a read's bytes as they come
 
 
+class House(Protocol):
+    """The dispatcher, as ranges need it."""
+
+    @property
+    def trade(self) -> Trade: ...
+
+    @property
+    def rooms(self) -> Rooms: ...
+
+    @property
+    def come_back_ms(self) -> float: ...
+
+    @property
+    def log(self) -> Callable[..., None]: ...
+
+    def clock(self) -> float: ...
+
+    def until(self, session: Asker, ask: ReadRpc | WriteRpc) -> float:
+        """When the RPC's answer must be on its way. To be asked once an RPC."""
+
+    def make(
+        self,
+        session: Asker,
+        ask: ReadRpc | WriteRpc,
+        body: Body,
+        key: str,
+        shard: int,
+        start: int,
+        length: int,
+        until: float,
+    ) -> Held: ...
+
+    def take_plain(self, session: Asker, ask: ReadRpc | WriteRpc, body: Body) -> Held:
+        """An RPC that no map is asked for."""
+
+    def admit(self, held: Held) -> None:
+        """To the module, once there is room for its bytes."""
+
+    def abandon(self, held: Held) -> None:
+        """The module is to go on with it no more."""
+
+    def release(self, one: Held | Whole) -> Claim | None: ...
+
+    def pin_sends(self, held: Held, claim: Claim) -> None: ...
+
+    def let_go(self, one: Held | Whole) -> None: ...
+
+    def keeps(self, one: Whole) -> bool:
+        """Whether it is taken and not over."""
+
+    def final(self, one: Held | Whole, message: Ok | Rejected | Errored, body: Body = None) -> None: ...
+
+    def look_again(self) -> None:
+        """RPCs that waited for their place have one now."""
+
+
 class Range:
     """A client's RPC that goes as pieces. `helds` is emptied as they end, and by its own end."""
 
     def __init__(
-        self, carrier: Carrier, session: Session, ask: ReadRpc | WriteRpc, body: Any, until: float
+        self, carrier: Carrier, session: Asker, ask: ReadRpc | WriteRpc, body: Any, until: float
     ) -> None:
         self.carrier, self.session, self.ask, self.until = carrier, session, ask, until
         self.writes = isinstance(ask, WriteRpc)
@@ -46,7 +99,7 @@
 
     def enter(self) -> None:
         """Find room for the whole, if it is put together here, and then the map."""
-        session, ask, rooms = self.session, self.ask, self.carrier.gateway.rooms
+        session, ask, rooms = self.session, self.ask, self.carrier.house.rooms
         if not (self.writes or self.streams) and self.length:
             self.claim = rooms.ask(session.account, ask.workload, ask.volume, self.length, self, ask.left_ms)
             if waits(self.claim):
@@ -58,8 +111,8 @@
 
     def cramped(self, claim: Claim) -> None:
         self.drop()
-        gateway = self.carrier.gateway
-        gateway.final(self, Rejected(self.ask.id, gateway.come_back_ms, "no room for its bytes"))
+        house = self.carrier.house
+        house.final(self, Rejected(self.ask.id, house.come_back_ms, "no room for its bytes"))
 
     def plan(self) -> None:
         """Begin anew by the map, which is known now; nothing has been sent before it was."""
@@ -82,21 +135,21 @@
         if self.cramped_piece is not None and waits(self.cramped_piece.claim):
             return  # one that waits for room is enough: the next goes behind it
         carrier, self.cramped_piece = self.carrier, None
-        most = 1 if carrier.gateway.rooms.store.waits else carrier.cuts.pieces
+        most = 1 if carrier.house.rooms.store.waits else carrier.cuts.pieces
         for piece in self.parent.more(lambda extent: carrier.map.home(self.ask.volume, extent), most):
             held = carrier.hold_piece(self, piece)
             self.helds[piece] = held
             session.flying += piece.stretch.length
-            carrier.gateway.admit(held)
+            carrier.house.admit(held)
             if waits(held.claim):
                 self.cramped_piece = held
 
     def ok(self, held: Held) -> None:
         piece, body = held.piece, held.body
-        assert piece is not None
+        assert isinstance(piece, Piece)
         stretch = piece.stretch
         if self.streams and body is not None:
-            self.session.hand(Part(self.ask.id, stretch.at), body, self.carrier.gateway.release(held))
+            self.session.hand(Part(self.ask.id, stretch.at), body, self.carrier.house.release(held))
         elif self.whole is not None and not self.writes and body is not None and body is not held.place:
             self.whole[stretch.at : stretch.at + stretch.length] = body
         self._landed(piece)
@@ -105,7 +158,7 @@
         self._on()
 
     def rejected(self, held: Held, come_back_ms: float) -> None:
-        assert held.piece is not None
+        assert isinstance(held.piece, Piece)
         self._landed(held.piece)
         if any(send.outcome is None or not send.outcome.never_ran for send in held.sends):
             self.parent.begun = True
@@ -113,7 +166,7 @@
         self._on()
 
     def errored(self, held: Held) -> None:
-        assert held.piece is not None
+        assert isinstance(held.piece, Piece)
         self._landed(held.piece)
         self.parent.errored(held.piece)
         self._on()
@@ -133,38 +186,38 @@
         if end is None:
             return
         self.drop()
-        ask, gateway = self.ask, self.carrier.gateway
+        ask, house = self.ask, self.carrier.house
         if end is End.OK:
             body = None if self.streams or self.writes else self.whole
-            gateway.final(self, Ok(ask.id, -1), body)
+            house.final(self, Ok(ask.id, -1), body)
         elif end is End.REJECTED:
-            gateway.final(self, Rejected(ask.id, parent.come_back_ms, "a piece of it was rejected"))
+            house.final(self, Rejected(ask.id, parent.come_back_ms, "a piece of it was rejected"))
         else:
             what = "a piece failed: its ranges may hold new bytes or old" if self.writes else "a piece failed"
-            gateway.final(self, Errored(ask.id, what))
+            house.final(self, Errored(ask.id, what))
 
     def drop(self) -> None:
         """Pieces that are still held are of no use any more."""
         self.session.hungry.pop(self, None)
         helds, self.helds = self.helds, {}
         for held in helds.values():
-            self.carrier.gateway.rounds.leave(held)
+            self.carrier.house.abandon(held)
             self._let_go(held)
 
     def _let_go(self, held: Held) -> None:
-        gateway = self.carrier.gateway
+        house = self.carrier.house
         self.session.flying -= held.length
         if self.claim is not None:
-            gateway.pin_sends(held, self.claim)
-        gateway.let_go(held)
+            house.pin_sends(held, self.claim)
+        house.let_go(held)
 
 
 class Carrier:
     """All of a dispatcher's ranges. `astray` is emptied by the map's word and by the RPCs' ends, `unmapped`
     by the volume's map or its RPCs' ends, `company` by the hold's end."""
 
-    def __init__(self, gateway: Gateway, cuts: Cuts, ask_map: Callable[[str, int, int], None]) -> None:
-        self.gateway, self.cuts, self.ask_map = gateway, cuts, ask_map
+    def __init__(self, house: House, cuts: Cuts, ask_map: Callable[[str, int, int], None]) -> None:
+        self.house, self.cuts, self.ask_map = house, cuts, ask_map
         self.map = ExtentMap()
         self.holds = Company(cuts.hold_part)
         self.astray: dict[tuple[str, int], list[Held]] = {}
@@ -174,18 +227,18 @@
         self.joined = self.split = self.held_vain = self.stales = 0
         self._again: asyncio.TimerHandle | None = None
 
-    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held | Range | None:
+    def take(self, session: Asker, ask: ReadRpc | WriteRpc, body: Any) -> Held | Range | None:
         """A client's RPC on a range; None where it was answered at once."""
-        gateway, volume = self.gateway, ask.volume
+        house, volume = self.house, ask.volume
         length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
-        workload = gateway.trade.workloads.get(ask.workload)
-        if workload is None or volume not in gateway.trade.volumes:
-            return gateway.take(session, ask, body)  # the module rejects what it does not know
+        workload = house.trade.workloads.get(ask.workload)
+        if workload is None or volume not in house.trade.volumes:
+            return house.take_plain(session, ask, body)  # the module rejects what it does not know
         if isinstance(ask, WriteRpc) and ask.append:
             session.conn.send(Errored(ask.id, "a range has no end to append to"))
             return None
         if not self.map.known(volume):
-            range_ = Range(self, session, ask, body, gateway.until(session, ask))
+            range_ = Range(self, session, ask, body, house.until(session, ask))
             range_.enter()
             return range_
         told = self._judge(ask, length)
@@ -194,7 +247,7 @@
             return None
         first = next(self.map.stretches(volume, ask.offset, length, self.cuts.most_piece))
         if first.length < length:
-            range_ = Range(self, session, ask, body, gateway.until(session, ask))
+            range_ = Range(self, session, ask, body, house.until(session, ask))
             self.split += 1
             range_.enter()
             return range_
@@ -206,11 +259,11 @@
                 held.extent,
                 held.start,
                 held.start + held.length,
-                gateway.rounds.clock(),
+                house.clock(),
                 workload.soft_ms,
             )
         if wait <= 0.0:
-            gateway.admit(held)
+            house.admit(held)
             return held
         key = (volume, held.extent)
         if key not in self.company:
@@ -224,14 +277,14 @@
         helds = [held for held in self.company.pop(key) if not held.over]
         spans = sorted((held.start, held.start + held.length) for held in helds)
         met = sum(later[0] <= earlier[1] for earlier, later in pairwise(spans))
-        self.holds.met(*key, self.gateway.rounds.clock(), met + 1)
+        self.holds.met(*key, self.house.clock(), met + 1)
         self.held_vain += not met
         for held in helds:
-            self.gateway.admit(held)
+            self.house.admit(held)
 
-    def _single(self, session: Session, ask: ReadRpc | WriteRpc, body: Any, stretch: Stretch) -> Held:
+    def _single(self, session: Asker, ask: ReadRpc | WriteRpc, body: Any, stretch: Stretch) -> Held:
         shard, version = self.map.home(ask.volume, stretch.extent)
-        return self._held(session, ask, body, stretch, shard, version, self.gateway.until(session, ask))
+        return self._held(session, ask, body, stretch, shard, version, self.house.until(session, ask))
 
     def hold_piece(self, range_: Range, piece: Piece) -> Held:
         stretch, ask = piece.stretch, range_.ask
@@ -247,7 +300,7 @@
 
     def _held(
         self,
-        session: Session,
+        session: Asker,
         ask: ReadRpc | WriteRpc,
         body: Any,
         stretch: Stretch,
@@ -256,7 +309,7 @@
         until: float,
     ) -> Held:
         """The module's RPC on one stretch; it waits for the map's word where its place is not known."""
-        held = self.gateway.make(
+        held = self.house.make(
             session, ask, body, f"e{stretch.extent}", shard, stretch.start, stretch.length, until
         )
         held.extent, held.version = stretch.extent, max(0, version)
@@ -300,7 +353,7 @@
             else:
                 self._ask(*key, 1)
         for volume, ranges in [*self.unmapped.items()]:
-            ranges[:] = [one for one in ranges if one in self.gateway.held]
+            ranges[:] = [one for one in ranges if self.house.keeps(one)]
             if ranges:
                 self._ask(volume, 0, 2**31)
             else:
@@ -315,10 +368,10 @@
                 if not held.over:
                     held.shard, held.version, found = shard, version, True
         for range_ in self.unmapped.pop(word.volume, []):
-            if range_ in self.gateway.held:
+            if self.house.keeps(range_):
                 self.find(range_)
         if found:
-            self.gateway.look_again()
+            self.house.look_again()
 
     def _judge(self, ask: ReadRpc | WriteRpc, length: int) -> Ok | Errored | None:
         """What the map alone tells of a range: its final answer, or None where it goes on."""
@@ -327,7 +380,7 @@
             return Errored(ask.id, f"beyond the volume's end at {size}")
         if not length:
             return Ok(ask.id, -1)
-        if self.gateway.trade.workloads[ask.workload].in_order:
+        if self.house.trade.workloads[ask.workload].in_order:
             stretches = list(self.map.stretches(ask.volume, ask.offset, length, length))
             if stretches[0].extent != stretches[-1].extent:
                 return Errored(ask.id, "a range that keeps an order must lie within one extent")
@@ -346,7 +399,7 @@
             range_.plan()
         else:
             range_.drop()
-            self.gateway.final(range_, told)
+            self.house.final(range_, told)
 
     def close(self) -> None:
         if self._again is not None:
@@ -355,7 +408,7 @@
     def tell(self) -> None:
         """What merging and splitting did since the last line; silent where they did nothing."""
         if self.joined or self.split or self.held_vain or self.stales:
-            self.gateway.log(
+            self.house.log(
                 "ranges",
                 joined=self.joined,
                 split=self.split,
--- a/cherrygrade/gateway/links.py
+++ b/cherrygrade/gateway/links.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from cherrygrade.gateway.held import Held, Out
 from cherrygrade.gateway.pool import Line, Pool
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.held import Held, Out
 from cherrygrade.interface import Effect, Node, Outcome, Standing
 from cherrygrade.peers.store import Claim
 from cherrygrade.site import Lines
@@ -326,7 +326,8 @@
     def part_ended(self, out: Out, outcome: Outcome, body: bytearray | memoryview | None = None) -> None:
         self.wheel.drop(out, out.slot)
         self.rounds.outcome(out, outcome, body)
-        flight, claim, out.claim = out.flight, out.claim, None
+        flight: Flight | None = out.flight
+        claim, out.claim = out.claim, None
         if flight is not None and flight.line is not None and flight.line.receiving is flight:
             held = out.rpc  # nobody waits for its bytes any more, but they go on coming in
             if claim is None and isinstance(held, Held) and (claim := held.room()) is not None:
@@ -348,7 +349,7 @@
 
         Others that share its frame go on.
         """
-        flight = out.flight
+        flight: Flight | None = out.flight
         if flight is None or out not in flight.parts or out.outcome is not None:
             return
         if flight.line is None:
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -4,25 +4,26 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from cherrygrade.door import Nodes
-from cherrygrade.extents.carrier import Carrier, Range
+from cherrygrade.extents.carrier import Carrier
 from cherrygrade.gateway.follower import Follower
-from cherrygrade.gateway.held import Held, Out
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke
 from cherrygrade.gateway.links import Link, NodeLine
-from cherrygrade.gateway.rooms import Rooms
 from cherrygrade.gateway.roster import Book
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.sessions import Session
 from cherrygrade.gateway.wheel import Wheel
 from cherrygrade.gateway.words import Words
+from cherrygrade.held import Asker, Body, Held, Out, Whole
 from cherrygrade.interface import Node, Outcome
 from cherrygrade.peers.arrivals import Arrivals
+from cherrygrade.peers.rooms import Rooms
 from cherrygrade.peers.store import Claim, waits
 from cherrygrade.peers.watch import Watch
-from cherrygrade.policy import Dispatcher
+from cherrygrade.policy import Dispatcher, presses
 from cherrygrade.site import Bearings, Bounds, Cuts, Fleet, Lines, Origin, Pace, Place, Trade
 from cherrygrade.transport.listening import listen
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
@@ -57,7 +58,7 @@
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
         self.hello_ms, self.come_back_ms = bounds.hello_ms, bearings.permits.come_back_ms
         self.leaving, self._lingering = False, True
-        self.held: dict[Held | Range, None] = {}  # taken and not over; emptied by final answers and leavings
+        self.held: dict[Held | Whole, None] = {}  # taken and not over; emptied by final answers and leavings
         self.sessions: dict[Session, None] = {}
         self.arrivals: Arrivals[Session] = Arrivals(bounds.most_clients, bounds.most_silent)
         self.links: dict[Node, Link] = {}
@@ -96,8 +97,8 @@
             **({"company": company} if company is not None else {}),
         )
         pace = pace or Pace()
-        top, tight = dispatcher.top, dispatcher.tight
-        self.rooms = Rooms(trade, bearings.earnings, top, tight, pace, bounds.most_body, log)
+        pressed = partial(presses, top=dispatcher.top, tight=dispatcher.tight)
+        self.rooms = Rooms(trade, bearings.earnings, pressed, pace, bounds.most_body, log)
         self.rounds = Rounds(dispatcher, self, self._crashed, lambda text: log("module", text=text))
         self.ranges = Carrier(self, cuts or Cuts(), self._ask_map)
         self.follower = Follower(
@@ -184,7 +185,7 @@
         self.rounds.end()
         for held in [*self.held]:
             assert held.ask is not None
-            if isinstance(held, Range):
+            if not isinstance(held, Held):
                 held.drop()
             self.final(held, Errored(held.ask.id, "dispatcher ends"))
         if self._server is not None:
@@ -231,16 +232,19 @@
             self.sessions[session] = None
         return place
 
+    def spoke(self, session: Session) -> None:
+        self.arrivals.spoke(session)
+
     def exit(self, session: Session, why: str) -> None:
         self.arrivals.spoke(session)
         if self.sessions.pop(session, self) is None:
             self.log("client left", client=session.name, peer=session.conn.peer, why=why)
             self._look_done()
 
-    def until(self, session: Session, ask: ReadRpc | WriteRpc) -> float:
+    def until(self, session: Asker, ask: ReadRpc | WriteRpc) -> float:
         """When the RPC's answer must be on its way. To be asked once an RPC."""
         now = self.rounds.clock()
-        waited = session.transit.waited(ask.at_ms, now)
+        waited = session.waited(ask.at_ms, now)
         workload = self.trade.workloads.get(ask.workload)
         # Clients of one workload that give themselves more time than it has would make the others look late.
         left = min(ask.left_ms, workload.deadline_ms if workload else 1e7) - waited
@@ -248,9 +252,9 @@
 
     def make(
         self,
-        session: Session,
+        session: Asker,
         ask: ReadRpc | WriteRpc,
-        body: Any,
+        body: Body,
         key: str,
         shard: int,
         start: int,
@@ -277,8 +281,12 @@
             body=body,
         )
 
-    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held:
-        """An RPC on an extent that the client names itself."""
+    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held | Whole | None:
+        """An RPC on an extent that the client names itself, or on a range; None: answered at once."""
+        return self.take_plain(session, ask, body) if ask.key else self.ranges.take(session, ask, body)
+
+    def take_plain(self, session: Asker, ask: ReadRpc | WriteRpc, body: Body) -> Held:
+        """An RPC that no map is asked for."""
         length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
         held = self.make(session, ask, body, ask.key, ask.shard, ask.offset, length, self.until(session, ask))
         self.admit(held)
@@ -296,6 +304,22 @@
         if not waits(held.claim):
             self.rounds.take(held)
 
+    def admitted(self, held: Held) -> None:
+        """Room for its bytes came."""
+        self.rounds.take(held)
+
+    def keep(self, taken: Held | Whole) -> None:
+        self.held[taken] = None
+
+    def keeps(self, one: Whole) -> bool:
+        return one in self.held
+
+    def abandon(self, held: Held) -> None:
+        self.rounds.leave(held)
+
+    def clock(self) -> float:
+        return self.rounds.clock()
+
     def turn_away(self, held: Held) -> None:
         """No room came in its time: it never was the module's."""
         held.over = True
@@ -304,7 +328,7 @@
         elif held.ask is not None:
             self.final(held, Rejected(held.ask.id, self.come_back_ms, "no room for its bytes"))
 
-    def release(self, held: Held | Range) -> Claim | None:
+    def release(self, held: Held | Whole) -> Claim | None:
         """The RPC needs its room no more: whoever gets it gives it back. Sends that are out still hold it."""
         if isinstance(held, Held) and held.purse is not None:
             held.purse.spent -= held.length
@@ -321,11 +345,11 @@
                 claim.pin()
                 out.claim = claim
 
-    def let_go(self, held: Held | Range) -> None:
+    def let_go(self, held: Held | Whole) -> None:
         """Nobody gets its bytes."""
         self.rooms.leave(self.release(held))
 
-    def left(self, held: Held | Range) -> None:
+    def left(self, held: Held | Whole) -> None:
         self.held.pop(held, None)
         if isinstance(held, Held):
             self.rounds.leave(held)
@@ -417,7 +441,7 @@
         last = held.sends[-1].outcome if held.sends else None
         self.final(held, Errored(held.ask.id, f"last send: {last.value}" if last else ""))
 
-    def final(self, held: Held | Range, message: Ok | Rejected | Errored, body: Any = None) -> None:
+    def final(self, held: Held | Whole, message: Ok | Rejected | Errored, body: Any = None) -> None:
         """The one final answer."""
         assert held.session is not None
         self.held.pop(held, None)
--- a/cherrygrade/gateway/rounds.py
+++ b/cherrygrade/gateway/rounds.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from cherrygrade.door import Inbox
-from cherrygrade.gateway.held import Held, Out
+from cherrygrade.held import Held, Out
 from cherrygrade.interface import Node, Outcome, Rpc, Send
 from cherrygrade.policy import Dispatcher
 
--- a/cherrygrade/gateway/sessions.py
+++ b/cherrygrade/gateway/sessions.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from cherrygrade.gateway.held import Body, Held
-from cherrygrade.gateway.rooms import PURSE
 from cherrygrade.gateway.transit import Transit
+from cherrygrade.held import Body, Held, Whole
 from cherrygrade.peers.ladder import Step
+from cherrygrade.peers.rooms import PURSE, Rooms
 from cherrygrade.peers.store import Account, Claim, Purse, waits
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.frames import LATER, Later
@@ -26,22 +26,67 @@
     WriteRpc,
 )
 
-if TYPE_CHECKING:
-    from cherrygrade.extents.carrier import Range
-    from cherrygrade.gateway.process import Gateway
+
+class House(Protocol):
+    """The dispatcher, as its clients' sessions need it."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def most_body(self) -> int: ...
+
+    @property
+    def most_open(self) -> int: ...
+
+    @property
+    def hello_ms(self) -> float: ...
+
+    @property
+    def come_back_ms(self) -> float: ...
+
+    @property
+    def leaving(self) -> bool: ...
+
+    @property
+    def full(self) -> bool: ...
+
+    @property
+    def rooms(self) -> Rooms: ...
+
+    def enter(self, session: Session) -> bool:
+        """Whether there is a place for it."""
+
+    def spoke(self, session: Session) -> None:
+        """It greeted."""
+
+    def exit(self, session: Session, why: str) -> None: ...
+
+    def take(self, session: Session, ask: ReadRpc | WriteRpc, body: Any) -> Held | Whole | None:
+        """None where it was answered at once."""
+
+    def keep(self, taken: Held | Whole) -> None:
+        """It is in the session's table, under its id."""
+
+    def admitted(self, held: Held) -> None: ...
+
+    def turn_away(self, held: Held) -> None: ...
+
+    def left(self, held: Held | Whole) -> None:
+        """Its client wants no answer any more."""
 
 
 class Session:
     """One client's connection. `rpcs` is emptied by final answers and by the connection's end."""
 
-    def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
-        self.conn = Connection(self, gateway.most_body, taken=self.taken)
+    def __init__(self, house: House) -> None:
+        self.house = house
+        self.conn = Connection(self, house.most_body, taken=self.taken)
         self.name = ""
-        self.rpcs: dict[int, Held | Range] = {}
+        self.rpcs: dict[int, Held | Whole] = {}
         self.features: list[str] = []
         self.flying = 0  # bytes of pieces that are out for this client
-        self.hungry: dict[Range, None] = {}  # wait for room here; emptied by it and by their ends
+        self.hungry: dict[Whole, None] = {}  # wait for room here; emptied by it and by their ends
         self.account = Account()
         self.claim: Claim | None = None  # of the body that is coming in, or that waits to
         self.purse: Purse | None = None
@@ -54,24 +99,24 @@
         return self.account.step
 
     def connected(self, conn: Connection) -> None:
-        if not self.gateway.enter(self):
-            conn.close("too many clients", self.gateway.come_back_ms)
+        if not self.house.enter(self):
+            conn.close("too many clients", self.house.come_back_ms)
             return
         conn.show_slowness()
-        wait = self.gateway.hello_ms / 1000.0
+        wait = self.house.hello_ms / 1000.0
         self._greeting = asyncio.get_running_loop().call_later(wait, conn.close, "no hello in time")
 
     def room(self, conn: Connection, message: Any, length: int) -> bytearray | Later | None:
         """A write that would not be taken is read off and dropped: it costs no memory."""
         if not (isinstance(message, WriteRpc) and self.name):
             return None
-        gateway, self._dropped = self.gateway, self.gateway.full
+        house, self._dropped = self.house, self.house.full
         if self._dropped:
             return None
-        self.claim = gateway.rooms.ask(
+        self.claim = house.rooms.ask(
             self.account, message.workload, message.volume, length, self, message.left_ms
         )
-        if self.claim is None and gateway.rooms.bounded:
+        if self.claim is None and house.rooms.bounded:
             return None  # of a workload or a volume that nobody knows
         return LATER if waits(self.claim) else bytearray(length)
 
@@ -87,11 +132,11 @@
     def pays(self, held: Held, workload: str) -> bool:
         """Whether the purse pays for the bytes that a small read will bring."""
         conn = self.conn
-        if held.length > PURSE // 8 or conn.stuck or not self.gateway.rooms.bounded:
+        if held.length > PURSE // 8 or conn.stuck or not self.house.rooms.bounded:
             return False
         purse = self.purse
         if purse is None:
-            purse = self.purse = self.gateway.rooms.purse(self.account, workload, held.volume, self)
+            purse = self.purse = self.house.rooms.purse(self.account, workload, held.volume, self)
             if purse is None:
                 return False
         if not purse.spend(workload, held.volume, held.length, conn.waiting):
@@ -99,16 +144,26 @@
         held.purse = purse
         return True
 
+    def waited(self, since_hello_ms: float, now: float) -> float:
+        """How long its word was on its way, ms."""
+        return self.transit.waited(since_hello_ms, now)
+
+    def admitted(self, held: Held) -> None:
+        self.house.admitted(held)
+
+    def turned_away(self, held: Held) -> None:
+        self.house.turn_away(held)
+
     def idle(self) -> None:
         """Now and then: a purse that pays for nothing is given back."""
         purse = self.purse
         if purse is not None and not (purse.spent or self.conn.waiting or self.conn.stuck):
             self.purse = None
-            self.gateway.rooms.leave(purse.claim)
+            self.house.rooms.leave(purse.claim)
 
     def taken(self, claim: Claim) -> None:
         """The client has a body; a narrowed one gets its next piece only then."""
-        self.gateway.rooms.unpin(claim)
+        self.house.rooms.unpin(claim)
         if self.hungry and not self.conn.waiting:
             self.feed_hungry()
 
@@ -123,7 +178,7 @@
         elif isinstance(message, Leave) and self.name:
             left = self.rpcs.pop(message.id, None)
             if left is not None:
-                self.gateway.left(left)
+                self.house.left(left)
         elif isinstance(message, Hello) and not self.name:
             self._greet(message)
         elif isinstance(message, Bye):
@@ -140,11 +195,11 @@
             return
         assert self._greeting is not None
         self._greeting.cancel()
-        self.gateway.arrivals.spoke(self)
+        self.house.spoke(self)
         self.name, self.features = hello.name, hello.features
-        gateway = self.gateway
+        house = self.house
         self.conn.send(
-            Welcome(min(VERSION, hello.version), gateway.name, [], gateway.most_body, gateway.most_open)
+            Welcome(min(VERSION, hello.version), house.name, [], house.most_body, house.most_open)
         )
 
     def _take(self, ask: ReadRpc | WriteRpc, body: bytearray | memoryview | None) -> None:
@@ -152,32 +207,31 @@
         self.claim, self._dropped = None, False
         taken = self._taken(ask, body, dropped)
         if taken is None:
-            self.gateway.rooms.leave(claim)
+            self.house.rooms.leave(claim)
             return
         self.rpcs[ask.id] = taken
-        self.gateway.held[taken] = None
+        self.house.keep(taken)
         if claim is not None:
             taken.claim = claim
 
     def _taken(
         self, ask: ReadRpc | WriteRpc, body: bytearray | memoryview | None, dropped: bool
-    ) -> Held | Range | None:
+    ) -> Held | Whole | None:
         if ask.id in self.rpcs:
             self.conn.close(f"two RPCs with the id {ask.id}")
             return None
-        if isinstance(ask, ReadRpc) and (ask.length > self.gateway.most_body or body is not None):
+        if isinstance(ask, ReadRpc) and (ask.length > self.house.most_body or body is not None):
             # Nothing was taken: an answer of this length cannot be carried.
-            self.conn.send(Errored(ask.id, f"a read of {ask.length} bytes; at most {self.gateway.most_body}"))
+            self.conn.send(Errored(ask.id, f"a read of {ask.length} bytes; at most {self.house.most_body}"))
             return None
-        if len(self.rpcs) >= self.gateway.most_open or self.gateway.full:
-            reason = "leaving" if self.gateway.leaving else "more held than there is room for"
-            self.conn.send(Rejected(ask.id, self.gateway.come_back_ms, reason))
+        if len(self.rpcs) >= self.house.most_open or self.house.full:
+            reason = "leaving" if self.house.leaving else "more held than there is room for"
+            self.conn.send(Rejected(ask.id, self.house.come_back_ms, reason))
             return None
         if dropped:  # there was no room when its body came; there may be now, but the body is gone
-            self.conn.send(Rejected(ask.id, self.gateway.come_back_ms, "no room for its bytes"))
+            self.conn.send(Rejected(ask.id, self.house.come_back_ms, "no room for its bytes"))
             return None
-        gateway = self.gateway
-        return gateway.take(self, ask, body) if ask.key else gateway.ranges.take(self, ask, body)
+        return self.house.take(self, ask, body)
 
     def hand(self, message: Ok | Rejected | Errored | Part, body: Body, claim: Claim | None) -> None:
         """To the client. A body's room goes with it, until the client has taken it."""
@@ -187,12 +241,12 @@
             self.conn.send(message, body, holds=(claim,))
         else:
             self.conn.send(message, body)
-            self.gateway.rooms.leave(claim)
+            self.house.rooms.leave(claim)
 
     def answer(self, message: Ok | Rejected | Errored, body: Body, claim: Claim | None) -> None:
         """The final answer; nothing where the client went away meanwhile."""
         if self.rpcs.pop(message.id, None) is None:
-            self.gateway.rooms.leave(claim)
+            self.house.rooms.leave(claim)
             return
         self.hand(message, body, claim)
         if self.conn.full:  # it does not read its answers: no more of its RPCs are read either
@@ -210,11 +264,11 @@
         if self._greeting is not None:
             self._greeting.cancel()
         claim, self.claim = self.claim, None
-        self.gateway.rooms.leave(claim)
+        self.house.rooms.leave(claim)
         rpcs, self.rpcs = self.rpcs, {}
         for held in rpcs.values():
-            self.gateway.left(held)
+            self.house.left(held)
         purse, self.purse = self.purse, None
         if purse is not None:
-            self.gateway.rooms.leave(purse.claim)
-        self.gateway.exit(self, why)
+            self.house.rooms.leave(purse.claim)
+        self.house.exit(self, why)
--- /dev/null
+++ b/cherrygrade/held.py
@@ -0,0 +1,137 @@
+"""The module's RPC and send with what carrying them needs. Objects point to each other; no ids.
+
+What others have to be for an RPC is told by narrow protocols here, so that nothing below looks up to who
+holds it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from cherrygrade.interface import Rpc, Send
+
+if TYPE_CHECKING:  # a platform's dispatcher loads none of these
+    from cherrygrade.peers.ladder import Step
+    from cherrygrade.peers.store import Account, Claim, Purse
+    from cherrygrade.transport.connection import Connection
+    from cherrygrade.wire.messages import Errored, Ok, Part, ReadRpc, Rejected, WriteRpc
+
+Body = bytearray | memoryview | None
+
+
+class Whole(Protocol):
+    """A client's RPC that goes as pieces: what its pieces and its client tell it."""
+
+    claim: Claim | None
+
+    @property
+    def session(self) -> Asker: ...
+
+    @property
+    def ask(self) -> ReadRpc | WriteRpc: ...
+
+    @property
+    def streams(self) -> bool:
+        """Its client takes bytes as they come."""
+
+    def feed(self) -> None:
+        """There may be room for more pieces."""
+
+    def ok(self, held: Held) -> None: ...
+
+    def rejected(self, held: Held, come_back_ms: float) -> None: ...
+
+    def errored(self, held: Held) -> None: ...
+
+    def drop(self) -> None:
+        """What is still held of it is of no use any more."""
+
+
+class Asker(Protocol):
+    """The client whose RPC it is, as those who carry it know it."""
+
+    name: str
+    features: list[str]
+    flying: int
+    """Bytes of pieces that are out for it."""
+    hungry: dict[Whole, None]
+    """Wait until it has taken more."""
+
+    @property
+    def conn(self) -> Connection: ...
+
+    @property
+    def account(self) -> Account: ...
+
+    @property
+    def slow(self) -> Step: ...
+
+    def waited(self, since_hello_ms: float, now: float) -> float:
+        """How long its word was on its way, ms."""
+
+    def pays(self, held: Held, workload: str) -> bool:
+        """Whether its purse pays for the bytes of a small read."""
+
+    def admitted(self, held: Held) -> None:
+        """Room for the RPC's bytes came."""
+
+    def turned_away(self, held: Held) -> None:
+        """It did not come in time."""
+
+    def hand(self, message: Ok | Rejected | Errored | Part, body: Body, claim: Claim | None) -> None: ...
+
+    def answer(self, message: Ok | Rejected | Errored, body: Body, claim: Claim | None) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Held(Rpc):
+    """A client's RPC, with where its answer goes, and what it asked."""
+
+    session: Asker | None = None
+    ask: ReadRpc | WriteRpc | None = None
+    body: Body = None
+    """What a write writes; what a read's ok answer carries."""
+    place: memoryview | None = None
+    """Where a read's bytes belong, if that is known before they come."""
+    extent: int = -1
+    version: int = -1
+    """Of the extent, as the map told it; -1: named by key, not by range."""
+    range: Whole | None = None
+    piece: Any = None
+    """What it is of its range; the range's own."""
+    claim: Claim | None = None
+    """Room of its own; bytes of a parent that holds them whole are in the parent's."""
+
+    purse: Purse | None = None
+    """That pays for it in place of a claim of its own."""
+
+    def room(self) -> Claim | None:
+        """What holds the room of its bytes."""
+        return self.claim or (self.range.claim if self.range is not None else None)
+
+    def roomy(self, claim: Claim) -> None:
+        assert self.session is not None
+        self.session.admitted(self)
+        if self.range is not None:
+            self.range.feed()
+
+    def cramped(self, claim: Claim) -> None:
+        assert self.session is not None
+        self.session.turned_away(self)
+
+
+@dataclass(slots=True, eq=False)
+class Out(Send):
+    """One send, with the frame that carries it, alone or with others, or the HTTP exchange that does."""
+
+    flight: Any = None
+    """The frame; of the link that carries it."""
+    slot: int = 0
+    """Of the wheel of time-outs."""
+    claim: Claim | None = None
+    """Pinned where the RPC is over before it."""
+    until_ms: float = 0.0
+    """When its answer is waited for no longer."""
+    exchange: Any = None
+    """The connection that carries it alone."""
--- a/cherrygrade/gateway/rooms.py
+++ b/cherrygrade/peers/rooms.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from cherrygrade.interface import Earnings
+from cherrygrade.interface import Earnings, Workload
 from cherrygrade.peers.ladder import Step
 from cherrygrade.peers.store import Account, Claim, Purse, Share, State, Store, waits
-from cherrygrade.policy import presses
 from cherrygrade.site import Pace, Trade
 
 PURSE = 65536  # of one client's small pressed bodies; a body over an eighth of it is not small
@@ -26,7 +25,7 @@
 
 
 class Rooms:
-    """`top` and `tight` are the module's: the highest value and the nearest soft deadline of the site.
+    """`presses` is the module's: whether a workload is pressed work.
 
     `_shares` is the site's volumes; `_timers` is emptied by room, by time and by owners that leave.
     """
@@ -35,8 +34,7 @@
         self,
         trade: Trade,
         earnings: Earnings,
-        top: float,
-        tight: float,
+        presses: Callable[[Workload], bool],
         pace: Pace,
         most_body: int,
         log: Callable[..., None],
@@ -46,7 +44,7 @@
         self.store = Store(room, batch, pace.most_peer, pace.most_slow, earnings.in_share, earnings.beyond)
         self.bounded = pace.watch
         self._works = {
-            name: (presses(work, top, tight), work.value, work.soft_ms * pace.wait_part)
+            name: (presses(work), work.value, work.soft_ms * pace.wait_part)
             for name, work in trade.workloads.items()
         }
         self._shares = {
--- a/cherrygrade/peers/watch.py
+++ b/cherrygrade/peers/watch.py
@@ -4,9 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from cherrygrade.gateway.sessions import Session
 from cherrygrade.peers.ladder import (
     BACK,
     Ladder,
@@ -20,23 +19,44 @@
     spared,
 )
 from cherrygrade.peers.rate import Rate
+from cherrygrade.peers.rooms import Rooms
+from cherrygrade.peers.store import Account
 from cherrygrade.site import Pace
 from cherrygrade.transport.connection import Connection
 
-if TYPE_CHECKING:
-    from cherrygrade.gateway.links import NodeLine
-    from cherrygrade.gateway.rooms import Rooms
-
 LOOK_MS, PARTS = 100.0, 8
 STALL_MS = 150.0  # a part's look later than this after the last: it was we who stood still
 
 
+class Line(Protocol):
+    """Whoever has a connection: a client or a node."""
+
+    @property
+    def conn(self) -> Connection: ...
+
+
+class Client(Line, Protocol):
+    """What is done to a client that is slow."""
+
+    name: str
+
+    @property
+    def account(self) -> Account: ...
+
+    def idle(self) -> None:
+        """It is looked at, now and then."""
+
+    def read_on(self) -> None: ...
+
+    def feed_hungry(self) -> None: ...
+
+
 class Watched:
-    """One connection's record; goes with it."""
+    """One connection's record; goes with it. `client`: whose it is, where it is a client's."""
 
-    def __init__(self, pace: Pace, grace_ms: float, conn: Connection, now: float) -> None:
+    def __init__(self, pace: Pace, grace_ms: float, one: Line, client: Client | None, now: float) -> None:
         self.rate, self.ladder = Rate(pace.short_ms, pace.long_ms), Ladder(grace_ms)
-        self.conn, self.moved, self.seen = conn, conn.moved, now
+        self.client, self.conn, self.moved, self.seen = client, one.conn, one.conn.moved, now
         self.least = self.occupied = 0.0  # what is asked of it; bytes that waited for it, in the mean
 
 
@@ -51,16 +71,16 @@
         self,
         pace: Pace,
         rooms: Rooms,
-        sessions: Callable[[], Iterable[Session]],
-        lines: Callable[[], Iterable[NodeLine]],
+        sessions: Callable[[], Iterable[Client]],
+        lines: Callable[[], Iterable[Line]],
         come_back_ms: float,
         log: Callable[..., None],
     ) -> None:
         self.pace, self.rooms, self._sessions, self._lines = pace, rooms, sessions, lines
         self._come_back_ms, self._log = come_back_ms, log
         self.memory = Memory(pace.remember_ms)
-        self._records: dict[Session | NodeLine, Watched] = {}  # made anew each cycle from what is still there
-        self._left: list[Session | NodeLine] = []  # of this cycle, not looked at yet
+        self._records: dict[Line, Watched] = {}  # made anew each cycle from what is still there
+        self._left: list[Line] = []  # of this cycle, not looked at yet
         self._share, self._scarce = 1, 0.0
         self._last = self._good_at = self._cut_at = self._stood_still = 0.0
         # Of this cycle so far, and of the last whole one, which is judged by: waited for, slow, heaviest.
@@ -95,7 +115,7 @@
         for one in some:
             record = self._records.get(one)
             if record is not None and record.conn.open:
-                self._judge(one, record, scarce, least, now)
+                self._judge(record, scarce, least, now)
 
     def _begin(self, now: float) -> None:
         """A cycle: the last one's sums are judged by, and who is there now is listed."""
@@ -103,23 +123,22 @@
         self._judged, self._heaviest = (everybody, self._heaviest), None
         self._waited = self._slow = 0
         old, self._records = self._records, {}
-        self._left = [*self._sessions(), *self._lines()]
-        for one in self._left:
-            record = old.get(one)
+        grace = self.pace.grace_ms
+        for client in self._sessions():
+            record = old.get(client)
             if record is None:
-                grace = self.pace.grace_ms
-                if isinstance(one, Session):
-                    grace = self.memory.grace(_who(one), now, grace)
-                record = Watched(self.pace, grace, one.conn, now)
-            self._records[one] = record
+                given = self.memory.grace(_who(client), now, grace)
+                record = Watched(self.pace, given, client, client, now)
+            self._records[client] = record
+        for line in self._lines():
+            self._records[line] = old.get(line) or Watched(self.pace, grace, line, None, now)
+        self._left = [*self._records]
         self._share = -(-len(self._left) // PARTS)
 
-    def _judge(
-        self, one: Session | NodeLine, record: Watched, scarce: float, least: float, now: float
-    ) -> None:
-        conn, pace = record.conn, self.pace
-        if isinstance(one, Session):
-            one.idle()
+    def _judge(self, record: Watched, scarce: float, least: float, now: float) -> None:
+        conn, client, pace = record.conn, record.client, self.pace
+        if client is not None:
+            client.idle()
         moved, record.moved = conn.moved - record.moved, conn.moved
         took, seen, record.seen = now - record.seen, record.seen, now
         if seen < self._stood_still or took <= 0.0:  # it was we who stood still since
@@ -129,7 +148,7 @@
             record.rate.rested()
             record.occupied -= part * record.occupied
             # With nothing left waiting: what a slow network takes at last comes in lumps, and looks as fast.
-            if 1000.0 * moved / took >= least * BACK and isinstance(one, Session):
+            if 1000.0 * moved / took >= least * BACK and client is not None:
                 self._good_at = now
             return
         record.rate.saw(moved, took)
@@ -145,28 +164,29 @@
         stays = spared(everybody, scarce, record is heaviest, now - self._cut_at, pace.grace_ms)
         step = record.ladder.judge(per_s, record.least, took, stays)
         if step is not before:
-            self._take_step(one, record, step, now)
+            self._take_step(record, step, now)
 
-    def _take_step(self, one: Session | NodeLine, record: Watched, step: Step, now: float) -> None:
+    def _take_step(self, record: Watched, step: Step, now: float) -> None:
+        client = record.client
         conn, per_s, least = record.conn, record.rate.per_s(), record.least
         self._log(
             "slow peer",
             peer=conn.peer,
-            name=one.name if isinstance(one, Session) else "",
+            name=client.name if client is not None else "",
             step=step.name.lower(),
             bytes_per_s=round(per_s),
             least=round(least),
             waiting=conn.waiting,
             used=self.rooms.store.used,
         )
-        if isinstance(one, Session):
-            self.rooms.mark(one.account, step)
-            one.read_on()
+        if client is not None:
+            self.rooms.mark(client.account, step)
+            client.read_on()
             if step < Step.NARROW:
-                one.feed_hungry()
+                client.feed_hungry()
             if step is Step.CUT:
                 self._cut_at = now
-                self.memory.cut(_who(one), now)
+                self.memory.cut(_who(client), now)
                 conn.close(
                     f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least", self._come_back_ms
                 )
@@ -174,5 +194,5 @@
             conn.abort(f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least")
 
 
-def _who(session: Session) -> tuple[str, str]:
-    return session.conn.peer.rpartition(":")[0], session.name
+def _who(client: Client) -> tuple[str, str]:
+    return client.conn.peer.rpartition(":")[0], client.name
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -6,16 +6,13 @@
 import re
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from cherrygrade.gateway.held import Held
+from cherrygrade.held import Held
 from cherrygrade.http.reader import Fault, Message, Reader, closes
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Plan, Workload
 
-if TYPE_CHECKING:
-    from cherrygrade.platform.process import Platform
-
 MOST_KEPT = 16 * 1024  # read ahead of an open RPC, so that a close behind it is noticed
 HIGH = 128 * 1024  # of answers that the client does not take: nothing more is begun for it
 TARGET = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[!-~]{0,1000})?")
@@ -87,15 +84,41 @@
     )
 
 
+class House(Protocol):
+    """The dispatcher, as its clients' connections need it."""
+
+    refused: int
+    """Messages that held no RPC."""
+
+    @property
+    def closing(self) -> bool:
+        """Whoever has its answer goes."""
+
+    @property
+    def buffer(self) -> memoryview:
+        """Shared by all: what is read into it is taken out at once."""
+
+    def clock(self) -> float: ...
+
+    def enter(self, visit: Visit) -> bool: ...
+
+    def spoke(self, visit: Visit) -> None: ...
+
+    def exit(self, visit: Visit, asked: Asked | None) -> None: ...
+
+    def ask(self, visit: Visit, message: Message) -> Asked:
+        """To the module; Fault where the message holds no RPC."""
+
+
 class Visit(asyncio.BufferedProtocol):
     """One client's connection. What is read ahead is bounded: messages of one piece read and `_kept`."""
 
-    def __init__(self, house: Platform) -> None:
+    def __init__(self, house: House) -> None:
         self.house = house
         self.open: Asked | None = None
         self.spoken = False
         """It has asked something whole."""
-        self.quiet_from = house.rounds.clock()
+        self.quiet_from = house.clock()
         """When it came, or when the last answer went, or when the message within began."""
         self._reader = Reader(answers=False)
         self._queue: deque[Message] = deque()
@@ -159,7 +182,7 @@
         """The final answer of the RPC that is open."""
         close = close or self.house.closing
         self.open = None
-        self.quiet_from = self.house.rounds.clock()
+        self.quiet_from = self.house.clock()
         if self._transport is None or self._ended:
             return
         self._transport.write(answer(status, body, fields, close))
@@ -197,7 +220,7 @@
     # Its own.
 
     def _feed(self, data: bytes) -> None:
-        reader, now = self._reader, self.house.rounds.clock()
+        reader, now = self._reader, self.house.clock()
         began = reader.within
         reader.feed(data)
         if not began and reader.within:
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -14,9 +14,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from cherrygrade.gateway.held import Out
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.held import Out
 from cherrygrade.http.reader import Message, Reader, Room, closes
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node, Outcome, Standing
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -11,10 +11,10 @@
 
 from cherrygrade.compiled import dispatcher
 from cherrygrade.door import Nodes
-from cherrygrade.gateway.held import Held, Out
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke, serve
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
+from cherrygrade.held import Held, Out
 from cherrygrade.http.reader import Fault, Message, Room
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.logs import plain_log
@@ -250,6 +250,9 @@
             self.rounds.leave(asked)
         self._look_done()
 
+    def clock(self) -> float:
+        return self.rounds.clock()
+
     def ask(self, visit: Visit, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
         asked = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
--- a/cherrygrade/virtual/datagrams.py
+++ b/cherrygrade/virtual/datagrams.py
@@ -5,10 +5,9 @@
 import asyncio
 from contextvars import copy_context
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
-from cherrygrade.virtual.loop import CURRENT
-from cherrygrade.virtual.network import Network
+from cherrygrade.virtual.loop import CURRENT, VirtualLoop
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,10 +21,26 @@
     jitter_ms: float = 0.5
 
 
+class Net(Protocol):
+    """The network, as a datagram needs it."""
+
+    datagrams: dict[tuple[str, int], Any]
+    datagrams_sent: int
+    datagram_bytes: int
+
+    @property
+    def loop(self) -> VirtualLoop: ...
+
+    @property
+    def chance(self) -> Any: ...
+
+    def parted(self, one: str, other: str) -> bool: ...
+
+
 class VirtualDatagrams(asyncio.DatagramTransport):
     """One bound place. What comes to a process that stands still waits for it, as in a socket's queue."""
 
-    def __init__(self, network: Network, rain: Rain, place: tuple[str, int], protocol: Any) -> None:
+    def __init__(self, network: Net, rain: Rain, place: tuple[str, int], protocol: Any) -> None:
         super().__init__({"sockname": place})
         self.network, self.rain, self.place, self.protocol = network, rain, place, protocol
         self.process, self.context = CURRENT.get(), copy_context()
--- a/cherrygrade/virtual/network.py
+++ b/cherrygrade/virtual/network.py
@@ -15,6 +15,7 @@
 
 import numpy
 
+from cherrygrade.virtual.datagrams import Rain, VirtualDatagrams
 from cherrygrade.virtual.loop import CURRENT, Process, VirtualLoop
 from cherrygrade.virtual.way import Way
 
@@ -85,7 +86,7 @@
         self.datagrams: dict[tuple[str, int], Any] = {}  # by place; until closed, or their process ends
         self.datagrams_sent = self.datagram_bytes = 0
         self._ports = 20000
-        self.rain: Any = None
+        self.rain: Rain | None = None
         loop.network = self
 
     def now(self) -> float:
@@ -104,8 +105,6 @@
 
     def bind(self, place: tuple[str, int], protocol: Any) -> Any:
         """For datagrams; `rain` says what becomes of them."""
-        from cherrygrade.virtual.datagrams import Rain, VirtualDatagrams
-
         if place in self.datagrams:
             raise OSError(98, f"{place} is taken")
         return VirtualDatagrams(self, self.rain or Rain(), place, protocol)
