--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -325,8 +325,8 @@
 
 def test_in_a_slow_network_short_of_room_the_heaviest_go_one_by_one():
     async def story(house: House) -> None:
-        # Three graces are longer than the span in which nobody may have moved bytes well: how soon the sockets'
-        # buffers fill, and whose last, is the system's matter.
+        # Three graces are longer than the span in which nobody may have moved bytes well: how soon
+        # sockets' buffers fill, and whose last, is the system's matter.
         pace = replace(QUICK, grace_ms=400.0)
         await big(house, pace=pace, bounds=Bounds(most_body=2048 * K))
         house.clients[0].close()
