--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -280,16 +280,29 @@
 
 @lab.command(name="explore")
 def lab_explore(
-    *, accusations: int = 1, crashes: int = 1, restarts: int = 1, leaves: bool = False, most: int = 1_000_000
+    model: Literal["members", "voters"] = "members",
+    *,
+    accusations: int = 1,
+    crashes: int = 1,
+    restarts: int = 1,
+    leaves: bool = False,
+    stands: int = 1,
+    proposals: int = 1,
+    most: int = 1_000_000,
 ) -> int:
-    """Every state that three members can come to, by the product's own roll and probing, within these bounds.
+    """Every state that three members, or three voters of the council, can come to within these bounds.
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab.explore import explore
-    from cherrygrade.lab.members import Bounds, Members
+    from cherrygrade.lab import members, voters
+    from cherrygrade.lab.explore import Found, explore
 
-    found = explore(Members(Bounds(accusations, crashes, restarts, leaves)), most)
+    found: Found[members.Now] | Found[voters.Now]
+    if model == "members":
+        bounds = members.Bounds(accusations, crashes, restarts, leaves)
+        found = explore(members.Members(bounds), most)
+    else:
+        found = explore(voters.Voters(voters.Bounds(stands, proposals, crashes)), most)
     print(found)
     return 0 if found.whole and not found.breach else 1
 
