--- /dev/null
+++ b/tests/test_council_disk.py
@@ -0,0 +1,126 @@
+"""A voter's store: what was written is there after a kill at any point, and what is torn is put aside."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from cherrygrade.fleet.council.raft import Base, Does, Entry, Stored
+from cherrygrade.fleet.disk import Store, StoreError, open_store
+
+ROOT = Path(__file__).parent.parent
+WRITER = """
+import sys
+from pathlib import Path
+from cherrygrade.fleet.council.raft import Base, Does, Entry
+from cherrygrade.fleet.disk import Store
+store = Store(Path(sys.argv[1]), "f", "a", "m")
+found = store.load()
+last, term = found.base.index + len(found.entries), found.term
+while True:
+    last, term = last + 1, term + 1
+    does = Does(hard=(term, "a"), since=last, entries=[Entry(term, b"%d" % last * 50)])
+    if last % 7 == 0:
+        does.base = Base(last - 3, term - 3, ("a",), b"state")
+    store.write(does, last)
+    print(last, term, flush=True)
+"""
+
+
+def filled(folder: Path, count: int = 6) -> Store:
+    store = Store(folder, "f", "a", "m")
+    entries = [Entry(1, b"%d" % at) for at in range(count)]
+    store.write(Does(hard=(1, "a"), since=1, entries=entries), count)
+    return store
+
+
+def test_what_was_written_is_read_back_and_what_it_replaced_is_gone(tmp_path: Path) -> None:
+    store = filled(tmp_path)
+    store.write(Does(hard=(2, ""), since=4, entries=[Entry(2, b"other")]), 4)
+    store.write(Does(base=Base(2, 1, ("a", "b"), b"state")), 4)
+    store.close()
+    store = Store(tmp_path, "f", "a", "another mark")
+    assert store.me == "a/m"
+    held = store.load()
+    assert held == Stored(2, "", Base(2, 1, ("a", "b"), b"state"), [Entry(1, b"2"), Entry(2, b"other")])
+
+
+def test_killed_at_any_moment_all_that_was_acknowledged_is_there(tmp_path: Path) -> None:
+    random, told = Random(1), (0, 0)
+    for _ in range(12):
+        line = [sys.executable, "-c", WRITER, str(tmp_path)]
+        process = subprocess.Popen(line, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        assert process.stdout is not None
+        for _ in range(random.randrange(1, 60)):
+            told = tuple(int(part) for part in process.stdout.readline().split())  # type: ignore[assignment]
+        os.kill(process.pid, signal.SIGKILL)
+        for rest in process.stdout.read().splitlines():
+            if len(rest.split()) == 2:
+                told = tuple(int(part) for part in rest.split())  # type: ignore[assignment]
+        process.wait()
+        store = Store(tmp_path, "f", "a", "m")
+        held = store.load()
+        store.close()
+        last = held.base.index + len(held.entries)
+        assert (last, held.term) >= told and last - told[0] <= 1
+        assert [entry.payload for entry in held.entries] == [
+            b"%d" % at * 50 for at in range(held.base.index + 1, last + 1)
+        ]
+    assert told[0] > 100
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_torn_store_is_put_aside_or_is_whole(tmp_path: Path, seed: int) -> None:
+    filled(tmp_path).close()
+    before = Store(tmp_path, "f", "a", "m")
+    whole = before.load()
+    before.close()
+    file, random = tmp_path / "council.mdb", Random(seed)
+    data = bytearray(file.read_bytes())
+    at = random.randrange(len(data))
+    if seed % 4 == 0:
+        del data[at:]  # cut short
+    else:
+        for index in range(at, min(len(data), at + random.choice((1, 16, 600)))):
+            data[index] ^= random.randrange(1, 256)
+    file.write_bytes(data)
+    # In a process of its own: what is mapped and not there would end it.
+    code = (
+        "import sys; from pathlib import Path; from cherrygrade.fleet.disk import open_store\n"
+        "store, held, why = open_store(Path(sys.argv[1]), 'f', 'a', 5)\n"
+        "print(store.me, held.term, held.vote, [e.payload for e in held.entries], bool(why))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code, str(tmp_path)], cwd=ROOT, capture_output=True, text=True
+    )
+    same = f"a/m 1 a {[entry.payload for entry in whole.entries]} False"
+    told = done.stdout.strip()
+    assert done.returncode == 0, done.returncode
+    if told != same:
+        assert told.endswith("0  [] True") and not told.startswith("a/m "), told
+        assert [*tmp_path.glob("aside-*.mdb")]
+
+
+def test_a_foreign_store_is_put_aside_and_its_voter_has_another_mark(tmp_path: Path) -> None:
+    filled(tmp_path).close()
+    with pytest.raises(StoreError, match="of a of fleet f"):
+        Store(tmp_path, "f", "b", "m")
+    store, held, why = open_store(tmp_path, "f", "b", 7)
+    assert held == Stored() and "of a of fleet f" in why and store.me.startswith("b/")
+    assert [*tmp_path.glob("aside-*.mdb")]
+    store.close()
+
+
+def test_a_lost_record_condemns_the_store(tmp_path: Path) -> None:
+    store = filled(tmp_path)
+    with store._env.begin(write=True) as txn:
+        txn.delete(b"e" + (3).to_bytes(8, "big"))
+    with pytest.raises(StoreError, match="gap"):
+        store.load()
+    store.close()
