A torn store is tried by a process of its own first: wrong bytes in a page's head ended the voter

Change: open_store lets a process of its own read the whole store, and puts it aside where that ends or finds something.

--- a/cherrygrade/fleet/disk.py
+++ b/cherrygrade/fleet/disk.py
@@ -10,6 +10,8 @@
 
 import os
 import struct
+import subprocess
+import sys
 from pathlib import Path
 from zlib import crc32
 
@@ -22,6 +24,7 @@
 SIZE = 256 * 1024 * 1024  # at most; the file grows as it is used
 HARD, BASE, ENTRY, OWNER = b"hard", b"base", b"e", b"owner"
 SUM = struct.Struct(">Q")
+TRIED_S = 20.0
 FORM = 1  # of records; another is not read
 
 
@@ -70,9 +73,7 @@
         if file.exists() and 0 < file.stat().st_size < 2 * os.sysconf("SC_PAGE_SIZE"):
             raise StoreError("the file was cut short")
         try:
-            self._env = lmdb.open(
-                str(file), subdir=False, map_size=SIZE, max_dbs=0, metasync=True, sync=True
-            )
+            self._env = lmdb.open(str(file), subdir=False, map_size=SIZE, max_dbs=0, metasync=True, sync=True)
         except lmdb.Error as trouble:
             raise StoreError(f"no store: {trouble}") from trouble
         try:
@@ -172,6 +173,29 @@
 def open_store(folder: Path, fleet: str, name: str, birth: int) -> tuple[Store, Stored, str]:
     """The store, what it holds, and why an old one was put aside, if one was. `birth`: this life's, which
     marks a store that is made now."""
+    trouble = tried(folder, fleet, name)
+    if trouble:
+        put_aside(folder)
+    store, stored, why = _open(folder, fleet, name, birth)
+    return store, stored, trouble or why
+
+
+def tried(folder: Path, fleet: str, name: str) -> str:
+    """What is wrong with the store that is there, seen by a process of its own: bytes that are wrong in a
+    page's head make lmdb look where nothing is mapped, which ends whoever reads."""
+    if not (folder / "council.mdb").exists():
+        return ""
+    line = [sys.executable, "-m", "cherrygrade.fleet.disk", str(folder), fleet, name]
+    try:
+        done = subprocess.run(line, capture_output=True, text=True, timeout=TRIED_S)
+    except subprocess.TimeoutExpired:
+        return "it is read without end"
+    return (
+        "" if done.returncode == 0 else done.stdout.strip() or f"reading it ends a process: {done.returncode}"
+    )
+
+
+def _open(folder: Path, fleet: str, name: str, birth: int) -> tuple[Store, Stored, str]:
     mark = f"{crc32(f'{fleet}:{name}:{birth}'.encode()):08x}"
     try:
         store = Store(folder, fleet, name, mark)
@@ -184,3 +208,17 @@
         put_aside(folder)
         store = Store(folder, fleet, name, mark)
         return store, store.load(), str(trouble)
+
+
+def main() -> int:
+    folder, fleet, name = sys.argv[1:]
+    try:
+        Store(Path(folder), fleet, name, "").load()
+    except StoreError as trouble:
+        print(trouble)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
