--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/run.py
@@ -376,6 +376,8 @@
         if trouble.far and not self.far_port:
             return
         far, shuts, here = " ".join(map(str, numbers)), command in ("cut", "deafen"), not trouble.far
+        if command == "reset" and self.far_port:  # clients' streams too: what was under way there is lost
+            self.note.note("shut", trouble.on or [*range(self.scenario.dispatchers)], 0.0)
         if shuts and here:
             self.note.note("cut", trouble.on)
         elif shuts and CLIENTS in numbers:
