Reread: a lifted suspect's next suspicion has its last call; one table of words, one way to open a store

A fault found by reading: probing kept the mark of a last call when its suspect was lifted meanwhile, so the next suspicion of that member ended unasked, and the mark stayed for good. Goes when the suspicion does; the test fails without that line. No change of behaviour: both models for exploration kept told words as bits in code of their own (explore.Told); open_store put a store aside at two places, the second of which only what the first has read could come to; a probe's number is made by _number; the explorer's protocol told of another way to show a breach than there is.

--- a/cherrygrade/fleet/disk.py
+++ b/cherrygrade/fleet/disk.py
@@ -176,8 +176,8 @@
     trouble = tried(folder, fleet, name)
     if trouble:
         put_aside(folder)
-    store, stored, why = _open(folder, fleet, name, birth)
-    return store, stored, trouble or why
+    store = Store(folder, fleet, name, f"{crc32(f'{fleet}:{name}:{birth}'.encode()):08x}")
+    return store, store.load(), trouble
 
 
 def tried(folder: Path, fleet: str, name: str) -> str:
@@ -195,21 +195,6 @@
     )
 
 
-def _open(folder: Path, fleet: str, name: str, birth: int) -> tuple[Store, Stored, str]:
-    mark = f"{crc32(f'{fleet}:{name}:{birth}'.encode()):08x}"
-    try:
-        store = Store(folder, fleet, name, mark)
-        try:
-            return store, store.load(), ""
-        except StoreError:
-            store.close()
-            raise
-    except StoreError as trouble:
-        put_aside(folder)
-        store = Store(folder, fleet, name, mark)
-        return store, store.load(), str(trouble)
-
-
 def main() -> int:
     folder, fleet, name = sys.argv[1:]
     try:
--- a/cherrygrade/fleet/probing.py
+++ b/cherrygrade/fleet/probing.py
@@ -133,6 +133,7 @@
             return False
         if member.standing is not Standing.SUSPECT:
             self.suspects.pop(member.name, None)
+            self.called.discard(member.name)  # the next suspicion has a last call of its own
             if member.name in self.mine:
                 self.mine.discard(member.name)
                 if member.living:  # accused too hastily, or the ways are slow for all
@@ -235,9 +236,9 @@
                 self._probe(members[self.order.pop()], now, does)
 
     def _probe(self, member: Member, now: float, does: Does, again: bool = False) -> None:
-        self.count += 1
-        self.outs.append(Out(member.name, member.birth, self.count, now, again))
-        does.probe.append((member, self.count))
+        out = Out(member.name, member.birth, self._number(), now, again)
+        self.outs.append(out)
+        does.probe.append((member, out.number))
 
     def _knock(self, now: float, does: Does) -> None:
         self.knock_at = now + KNOCK_MS * (0.75 + 0.5 * self._chance())
--- a/cherrygrade/lab/explore.py
+++ b/cherrygrade/lab/explore.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
@@ -18,8 +18,7 @@
     def start(self) -> State: ...
 
     def steps(self, state: State) -> Iterable[tuple[str, State]]:
-        """What may happen next, by name. RuntimeError, or an empty name with the old state, tells a breach
-        that the step itself shows."""
+        """What may happen next, by name. Breach where a step itself shows what must not be."""
 
     def wrong(self, state: State) -> str:
         """What an invariant finds wrong with the state; empty where nothing."""
@@ -29,6 +28,29 @@
     """A step showed something that must not be."""
 
 
+class Told(Generic[State]):
+    """Words as bits, so that a state holds all that were ever sent in one number. Goes with the model."""
+
+    def __init__(self) -> None:
+        self._words: list[State] = []
+        self._bits: dict[State, int] = {}
+
+    def mask(self, words: Iterable[State]) -> int:
+        mask = 0
+        for word in words:
+            if word not in self._bits:
+                self._bits[word] = 1 << len(self._words)
+                self._words.append(word)
+            mask |= self._bits[word]
+        return mask
+
+    def of(self, mask: int) -> Iterator[State]:
+        while mask:
+            bit = mask & -mask
+            mask ^= bit
+            yield self._words[bit.bit_length() - 1]
+
+
 @dataclass(slots=True)
 class Found(Generic[State]):
     """`whole`: nothing was left out; else there were more states than `most`."""
--- a/cherrygrade/lab/members.py
+++ b/cherrygrade/lab/members.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -16,7 +16,7 @@
 from cherrygrade.fleet.pages import Probe
 from cherrygrade.fleet.probing import Does
 from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
-from cherrygrade.lab.explore import Breach
+from cherrygrade.lab.explore import Breach, Told
 
 NAMES = ("a", "b", "c")
 FACTS = {name: Facts(f"10.0.0.{at}:1", seat=at) for at, name in enumerate(NAMES)}
@@ -142,8 +142,7 @@
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         # What a mind comes to is worked out once: each goes with the exploration.
-        self._words: list[Word] = []
-        self._bits: dict[Word, int] = {}
+        self._told: Told[Word] = Told()
         self._after: dict[tuple[int, Mind, str, object], Mind] = {}
         self._judged: dict[tuple[Mind | None, ...], str] = {}
 
@@ -180,11 +179,7 @@
                     yield f"{name} buries {entry.name}", self._does(now, at, mind, "buries", entry.name)
             if bounds.forgets and any(entry.standing >= Standing.FAILED for entry in mind.entries):
                 yield f"{name} forgets", self._does(now, at, mind, "forgets", "")
-            told = now.told
-            while told:
-                bit = told & -told
-                told ^= bit
-                word = self._words[bit.bit_length() - 1]
+            for word in self._told.of(now.told):
                 if self._comes_to(at, mind, "hears", word) != mind:
                     yield f"{name} hears {word}", self._does(now, at, mind, "hears", word)
 
@@ -208,7 +203,7 @@
         turns = {(name, birth): turn for name, birth, turn in now.turns}
         turns |= {(name, mind.birth): max([0, *(word.entry.turn for word in words)])}
         told = tuple(sorted((name, birth, turn) for (name, birth), turn in turns.items()))
-        now = now._replace(told=now.told | self._mask(words), crashes=now.crashes + 1, turns=told)
+        now = now._replace(told=now.told | self._told.mask(words), crashes=now.crashes + 1, turns=told)
         return self._put(now, at, freeze(core)._replace(buried=mind.buried))
 
     def _comes_to(self, at: int, mind: Mind, act: str, what: object) -> Mind:
@@ -246,16 +241,7 @@
                     words.add(Word(entry, entry.turn_facts == entry.turn, entry.name == name))
                 for gone, birth, turn in mind.gone:  # to whoever comes back
                     words.add(Word(Entry(gone, birth, turn, Standing.FAILED, -1), False, False))
-        return now._replace(told=now.told | self._mask(words))
-
-    def _mask(self, words: Iterable[Word]) -> int:
-        mask = 0
-        for word in words:
-            if word not in self._bits:
-                self._bits[word] = 1 << len(self._words)
-                self._words.append(word)
-            mask |= self._bits[word]
-        return mask
+        return now._replace(told=now.told | self._told.mask(words))
 
     # What has to hold.
 
--- a/cherrygrade/lab/voters.py
+++ b/cherrygrade/lab/voters.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from cherrygrade.fleet.council.raft import Any_, Base, Entry, Raft, Role, Stored
-from cherrygrade.lab.explore import Breach
+from cherrygrade.lab.explore import Breach, Told
 
 NAMES = ("a", "b", "c")
 FIRST = Base(voters=NAMES)
@@ -89,8 +89,7 @@
     def __init__(self, bounds: Bounds, syncs: bool = True, forgets: bool = False) -> None:
         self.bounds, self.syncs, self.forgets = bounds, syncs, forgets
         # What a voter comes to is worked out once: goes with the exploration.
-        self._words: list[tuple[str, Any_]] = []
-        self._bits: dict[tuple[str, Any_], int] = {}
+        self._told: Told[tuple[str, Any_]] = Told()
         self._after: dict[tuple[int, Voter, str, object], tuple[Voter, int]] = {}
 
     def start(self) -> Now:
@@ -108,11 +107,7 @@
                 yield f"{name} is asked", self._does(more, at, "propose", b"%d" % now.proposals)
             if now.crashes < bounds.crashes:
                 yield f"{name} crashes", self._crash(now, at)
-            told = now.told
-            while told:
-                bit = told & -told
-                told ^= bit
-                to, word = self._words[bit.bit_length() - 1]
+            for to, word in self._told.of(now.told):
                 if to == name:
                     after, words = self._comes_to(at, voter, "hear", word)
                     if after != voter or words & ~now.told:
@@ -147,18 +142,9 @@
                     disk = disk._replace(entries=(*disk.entries[: does.since - 1], *does.entries))
                 if disk != Disk(raft.term, raft.vote, tuple(raft.entries)):
                     raise Breach(f"{NAMES[at]}: what it wrote is not what it knows: {disk}")
-            self._after[key] = freeze(raft, disk), self._mask(does.mail)
+            self._after[key] = freeze(raft, disk), self._told.mask(does.mail)
         return self._after[key]
 
-    def _mask(self, mail: list[tuple[str, Any_]]) -> int:
-        mask = 0
-        for one in mail:
-            if one not in self._bits:
-                self._bits[one] = 1 << len(self._words)
-                self._words.append(one)
-            mask |= self._bits[one]
-        return mask
-
     def _does(self, now: Now, at: int, act: str, what: Any) -> Now:
         after, words = self._comes_to(at, now.voters[at], act, what)
         voters = (*now.voters[:at], after, *now.voters[at + 1 :])
--- a/tests/test_fleet_roll.py
+++ b/tests/test_fleet_roll.py
@@ -8,6 +8,7 @@
 from cherrygrade.fleet import keepers, seats
 from cherrygrade.fleet.core import Core
 from cherrygrade.fleet.keepers import Keepers
+from cherrygrade.fleet.probing import Does, Probing
 from cherrygrade.fleet.roll import Claim, Facts, Roll, Standing, join
 from cherrygrade.fleet.sides import TABLE, Side, side
 
@@ -169,3 +170,20 @@
     again = Core("d0", 10, Facts("10.0.0.1:1", seat=0), 5, [], 1, 0.0)
     again.exchanged([Claim("d0", 20, 4, Standing.FAILED, Facts("10.0.0.1:1", seat=0))], "d3", 5.0)
     assert not again.silent and again.roll.own.key == (21, False, 0, Standing.ALIVE)
+
+
+def test_a_suspect_that_was_lifted_has_a_last_call_again_when_it_is_suspect_anew():
+    # Found by rereading: the mark of the first call stayed, and the second suspicion ended unasked.
+    roll = Roll(Claim("a", 1, 0, Standing.ALIVE, Facts("10.0.0.1:1")), 0.0, 64, 1e6)
+    roll.hear(Claim("b", 1, 0, Standing.ALIVE, Facts("10.0.0.2:1")), 0.0, "b")
+    probing = Probing(roll, 1, 0.0)
+    for turn, now in ((0, 0.0), (1, 100_000.0)):
+        suspect = Claim("b", 1, turn, Standing.SUSPECT, by="c")
+        assert roll.hear(suspect, now, "c")
+        probing.heard(suspect, now)
+        does = Does()
+        probing._bury(now + 50_000.0, does)
+        assert [member.name for member, _ in does.probe] == ["b"] and not probing.deaths
+        alive = Claim("b", 1, turn + 1, Standing.ALIVE, Facts("10.0.0.2:1"))
+        assert roll.hear(alive, now, "b")
+        probing.heard(alive, now)
