Platform: indented lists are heard; a silent watch is asked anew before what it missed counts

And QUIET_S was 5.0 where an empty line is due every 2 s and what a silent watch missed counts as told after 6 s: given up 5.01 s after the last word, then a back-off, a connect of up to 2 s and the answer came after it. A new process sent by the list of its file at once.

Change: platform/watching.py, free of I/O, cuts objects out of the stream wherever lines end, and says when silence means broken: 3 s, then tries of 1 s each for the whole list, beside the silent watch, so that two tries are over 5 s after it fell silent. Half an object is no sign of life, nor is breathing before a list that is owed. A new process is ready (GET /ready) with discovery's own list; the one in its file serves only after 12 s of silence.

Measured: a change missed by a silent watch is there over 2 s before it counts (test).

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -209,11 +209,17 @@
 
 
 @standin.command(name="platform")
-def standin_platform(*, discovery: str = "127.0.0.1:8500", nodes: int = 3) -> None:
-    """Run the platform's discovery and some storage nodes, to try `python -m cherrygrade platform` with."""
+def standin_platform(
+    *, discovery: str = "127.0.0.1:8500", nodes: int = 3, indent: int | None = None, hush_s: float = 0.0
+) -> None:
+    """Run the platform's discovery and some storage nodes, to try `python -m cherrygrade platform` with.
+
+    INDENT: lists come over several lines. HUSH_S: so often all watches fall silent while a node drains, and
+    it is said how many sends came to it after that counted as told.
+    """
     from cherrygrade.standin.web import run_platform
 
-    asyncio.run(run_platform(discovery, nodes))
+    asyncio.run(run_platform(discovery, nodes, indent, hush_s))
 
 
 @lab.command(name="run")
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -94,6 +94,10 @@
     def closing(self) -> bool:
         """Whoever has its answer goes."""
 
+    @property
+    def sighted(self) -> bool:
+        """Nodes are known."""
+
     @property
     def buffer(self) -> memoryview:
         """Shared by all: what is read into it is taken out at once."""
@@ -259,7 +263,7 @@
         self.spoken = True
         self.house.spoke(self)
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200, close=closes(message))
+            self.answer(200 if self.house.sighted else 503, close=closes(message))
             return
         try:
             self.open = self.house.ask(self, message)
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -24,6 +24,7 @@
 from cherrygrade.platform.listing import Listing
 from cherrygrade.platform.nodes import Link, Sockets
 from cherrygrade.platform.orders import Orders, OrdersError, read_orders
+from cherrygrade.platform.watching import BLIND_MS
 from cherrygrade.policy import Dispatcher
 from cherrygrade.transport.listening import listen
 
@@ -53,7 +54,9 @@
         self.workloads, self.plans = pairs.workloads(), pairs.plans()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
         self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
-        self.leaving = self.closing = False
+        self.leaving = self.closing = self.sighted = False
+        """`sighted`: nodes are known. What discovery has counts from the first moment on, and the list in
+        the file may be old: nothing is sent and nobody asked to come before discovery has told its own."""
         self._ends_at = float("inf")
         self.refused = self.left = 0
         self.finals = {200: 0, 503: 0, 502: 0}
@@ -86,16 +89,22 @@
 
     async def start(self) -> int:
         loop = asyncio.get_running_loop()
-        self._heard(self.listing.hear(self.orders.known) or [])
         self.follower.start()
+        self._timers["blind"] = loop.call_later(BLIND_MS / 1000.0, self._by_known)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._sweep()
         self._tell()
         self._server = await listen(lambda: Visit(self), self.orders.listen, BACKLOG, ABREAST)
         port: int = self._server.sockets[0].getsockname()[1]
-        self.log("listening", address=self.orders.listen, nodes=len(self.listing.dials))
+        self.log("listening", address=self.orders.listen)
         return port
 
+    def _by_known(self) -> None:
+        """Discovery is silent, and a list that may be old serves better than none."""
+        if not self.sighted:
+            self.log("list of the file taken: discovery is silent", version=self.orders.known.get("seq"))
+            self._heard(self.listing.hear(self.orders.known) or [])
+
     def reload(self) -> None:
         """The file is read anew: a bad one changes nothing. Only discovery's address is taken."""
         try:
@@ -267,6 +276,10 @@
     # What discovery calls.
 
     def _heard(self, nodes: list[Node]) -> None:
+        if not self.sighted:
+            self.sighted = True
+            self._timers.pop("blind").cancel()
+            self.log("sighted", nodes=len(self.listing.dials), version=self.listing.version)
         for node in nodes:
             link = self.links.get(node)
             if link is not None:
--- a/cherrygrade/standin/web.py
+++ b/cherrygrade/standin/web.py
@@ -78,10 +78,12 @@
         super().__init__(address)
         self.host, self.shard, self.work_ms = host, shard, work_ms
         self.came: list[Message] = []
+        self.came_at: list[float] = []  # s, of the event loop's clock
         self.script: deque[bytes | bool | None] = deque()
 
     def got(self, peer: Peer, message: Message) -> None:
         self.came.append(message)
+        self.came_at.append(asyncio.get_running_loop().time())
         asyncio.get_running_loop().call_later(self.work_ms / 1000.0, self._answer, peer, message)
 
     def _answer(self, peer: Peer, message: Message) -> None:
@@ -104,40 +106,91 @@
         }
 
 
+TOLD_S, GRACE_S = 6.0, 0.3  # what a silent watch missed counts after that; grace of a drain, with its slack
+
+
 class WebDiscovery(Web):
-    """Tells the whole list to whoever watches, and each change after it."""
+    """Tells the whole list to whoever watches, and each change after it, with a sign of life in between.
 
-    def __init__(self, address: str = "127.0.0.1:0") -> None:
+    `indent`: lists come over several lines. `down`: whoever asks hears nothing, and nothing is told.
+    `told_at`: when a node's standing counts as told, whether or not it arrived.
+    """
+
+    def __init__(self, address: str = "127.0.0.1:0", breath_s: float = 2.0) -> None:
         super().__init__(address)
         self.version, self.hosts = 1, dict[str, dict[str, Any]]()
         self.asked: list[bytes] = []
+        self.told_at: dict[str, float] = {}
+        self.indent: int | None = None
+        self.down = False
+        self._silent: dict[Peer, float] = {}  # watches that fell silent, and when; emptied as they close
+        self._breath_s = breath_s
 
     def got(self, peer: Peer, message: Message) -> None:
         self.asked.append(message.target)
+        if self.down:
+            self._silent[peer] = asyncio.get_running_loop().time()
+            return
         peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.write(peer, self.version, True, [*self.hosts.values()])
+        self._breathe(peer)
+
+    def _breathe(self, peer: Peer) -> None:
+        if peer.transport is not None and peer not in self._silent:
+            self.raw(peer, b"\n")
+            asyncio.get_running_loop().call_later(self._breath_s, self._breathe, peer)
+
+    def hush(self) -> None:
+        """All open watches fall silent; a new one is answered, unless discovery is down."""
+        now = asyncio.get_running_loop().time()
+        self._silent = {peer: self._silent.get(peer, now) for peer in self.peers}
 
     def write(self, peer: Peer, version: int, whole: bool, hosts: list[dict[str, Any]]) -> None:
-        self.raw(peer, json.dumps({"seq": version, "whole": whole, "hosts": hosts}).encode() + b"\n")
+        told = {"seq": version, "whole": whole, "hosts": hosts}
+        self.raw(peer, json.dumps(told, indent=self.indent).encode() + b"\n")
 
     def raw(self, peer: Peer, line: bytes) -> None:
         peer.write(b"%x\r\n%b\r\n" % (len(line), line))
 
     def tell(self, *entries: dict[str, Any]) -> None:
         self.version += 1
+        now = asyncio.get_running_loop().time()
+        missed = [at for peer, at in self._silent.items() if peer.transport is not None]
         for entry in entries:
             self.hosts[entry["host"]] = entry
+            self.told_at[entry["host"]] = max(now, min(missed) + TOLD_S) if missed else now
         for peer in self.peers:
-            self.write(peer, self.version, False, [*entries])
+            if peer not in self._silent:
+                self.write(peer, self.version, False, [*entries])
 
+    def late(self, node: WebNode) -> list[float]:
+        """How late, in s, each send was that came past the grace after the node's order to leave counts."""
+        if self.hosts[node.host]["health"] == "in_service":
+            return []
+        told = self.told_at[node.host] + GRACE_S
+        return [at - told for at in node.came_at if at > told]
 
-async def run_platform(address: str, count: int) -> None:
-    """Until it is ended from outside."""
+
+async def run_platform(address: str, count: int, indent: int | None = None, hush_s: float = 0.0) -> None:
+    """Until it is ended from outside. With `hush_s`, every so often all watches fall silent and a node is
+    told to drain; 2 s after that counts it is said how many sends still came to it, and it is back."""
     discovery = WebDiscovery(address)
+    discovery.indent = indent
     await discovery.open()
-    for n in range(count):
-        node = WebNode(f"s-{n}", n, work_ms=20.0)
+    nodes = [WebNode(f"s-{n}", n, work_ms=20.0) for n in range(count)]
+    for node in nodes:
         await node.open()
         discovery.tell(node.entry())
     print(f"discovery {discovery.address}, {count} nodes", flush=True)
+    turn = 0
+    while hush_s > 0.0:
+        await asyncio.sleep(hush_s)
+        node = nodes[turn % count]
+        discovery.hush()
+        discovery.tell(node.entry("terminating"))
+        await asyncio.sleep(TOLD_S + 2.0)
+        late = len(discovery.late(node))
+        print(f"{node.host} drained under silent watches: {late} sends came too late", flush=True)
+        discovery.tell(node.entry())
+        turn += 1
     await asyncio.get_running_loop().create_future()
--- a/tests/square.py
+++ b/tests/square.py
@@ -110,6 +110,12 @@
         (self.folder / "config.json").write_text(json.dumps(told | other))
 
     async def start(self, make: Callable[..., Any] = Dispatcher, **other: Any) -> Platform:
+        platform = await self.begin(make, **other)
+        await self.until(lambda: platform.sighted)
+        return platform
+
+    async def begin(self, make: Callable[..., Any] = Dispatcher, **other: Any) -> Platform:
+        """Without waiting for the first list."""
         await self.discovery.open()
         self.write_orders(**other)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,8 +14,10 @@
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_CLEAN
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Outcome, Standing
+from cherrygrade.platform import process, watching
 from cherrygrade.platform.orders import OrdersError, read_orders
 from cherrygrade.policy import Dispatcher
+from cherrygrade.standin.web import WebDiscovery
 
 TARGET = b"/api/00000000000000aa/00000000000000bb"
 
@@ -437,6 +439,112 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("piece", [1, 7, 10**6])
+def test_lists_that_come_indented_are_heard_however_they_are_split(tmp_path, piece):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        square.discovery.indent = 2
+        platform = await square.start()
+        told = [
+            json.dumps({"seq": n, "whole": False, "hosts": [node.entry(health)]}, indent=1).encode()
+            for n, health in ((7, "in_service"), (8, "terminating"))
+        ]
+        data = b"\n" + b"\n\n".join(told)  # and nothing behind the last one
+        for at in range(0, len(data), piece):
+            square.discovery.raw(square.discovery.peers[0], data[at : at + piece])
+        await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.DRAINING)
+        assert len(square.discovery.asked) == 1 and platform.listing.version == 8
+
+    play(tmp_path, story)
+
+
+def test_what_a_silent_watch_missed_is_here_before_it_counts_as_told(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        square.discovery.hush()
+        square.discovery.tell(node.entry("terminating"))
+        loop = asyncio.get_running_loop()
+        await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.DRAINING, 6000.0)
+        assert square.discovery.told_at[node.host] - loop.time() > 2.0
+        assert len(square.discovery.asked) == 2 and b"since" not in square.discovery.asked[1]
+        assert not square.discovery.late(node)
+        await square.until(lambda: len(square.discovery.peers) == 1)  # the silent one has gone
+
+    play(tmp_path, story)
+
+
+def test_while_discovery_is_down_the_list_stands_and_it_is_asked_anew_until_it_tells(tmp_path, monkeypatch):
+    monkeypatch.setattr(watching, "QUIET_MS", 200.0)
+    monkeypatch.setattr(watching, "FIRST_MS", 100.0)
+
+    async def story(square: Square) -> None:
+        square.discovery = WebDiscovery(breath_s=0.1)
+        node = await square.node()
+        platform = await square.start()
+        square.discovery.down = True
+        square.discovery.hush()
+        await square.until(lambda: len(square.discovery.asked) > 5)
+        assert len(square.discovery.peers) <= 2
+        assert (await (await square.caller()).call(ask())).status == 200
+        square.discovery.down = False
+        square.discovery.tell(node.entry("terminating"))
+        await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.DRAINING, 250.0)
+
+    play(tmp_path, story)
+
+
+def test_a_half_object_that_is_never_ended_is_no_sign_of_life(tmp_path, monkeypatch):
+    monkeypatch.setattr(watching, "QUIET_MS", 300.0)
+
+    async def story(square: Square) -> None:
+        square.discovery = WebDiscovery(breath_s=0.1)
+        await square.node()
+        await square.start()
+        square.discovery.raw(square.discovery.peers[0], b'{"seq":9,"whole":true,"hosts":[')
+        await square.until(lambda: len(square.discovery.asked) == 2, 800.0)
+
+    play(tmp_path, story)
+
+
+def test_a_new_process_is_ready_with_discoverys_list_not_with_the_one_in_its_file(tmp_path):
+    # What discovery has counts from the first moment; the file's list may be from before.
+    async def story(square: Square) -> None:
+        old, new = await square.node(shard=0), await square.node(shard=0)
+        square.write_orders()
+        known = json.loads((tmp_path / "config.json").read_text())["known"]
+        square.discovery.tell(old.entry("terminating"))
+        square.discovery.down = True
+        platform = await square.begin(known=known)
+        caller = await square.caller()
+        assert (await caller.call(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 503
+        held = asyncio.ensure_future((await square.caller()).call(ask()))
+        await asyncio.sleep(0.1)
+        square.discovery.down = False
+        await square.until(lambda: platform.sighted)
+        assert (await caller.call(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200
+        assert (await held).status == 503  # whoever comes before it is ready is answered in time all the same
+        assert (await caller.call(ask())).status == 200
+        assert not old.came and len(new.came) == 1 and not square.discovery.late(old)
+
+    play(tmp_path, story)
+
+
+def test_where_discovery_stays_silent_the_files_list_serves_after_a_time(tmp_path, monkeypatch):
+    monkeypatch.setattr(process, "BLIND_MS", 200.0)
+
+    async def story(square: Square) -> None:
+        await square.node()
+        square.discovery.down = True
+        platform = await square.begin()
+        assert not platform.sighted
+        await square.until(lambda: platform.sighted)
+        assert (await (await square.caller()).call(ask())).status == 200
+        assert any(event.startswith("list of the file") for event, _ in square.logs)
+
+    play(tmp_path, story)
+
+
 def test_a_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
     async def story(square: Square) -> None:
         node = await square.node()
