Slow peers: few connections are looked at 20 times a second, not 80: it was most of an idle dispatcher's CPU

Seen: lab fleet fleet-killed, 200 processes on three cores (taskset), sampled by process each second: 1.9 of 3 cores at rest, 9.5 thousandths each; py-spy: 12 of 27 busy samples of a resting dispatcher in peers/watch.py's look, which woke 80 times a second for two connections. The parts of a cycle now go by how many connections there are (2 to 8).

--- a/cherrygrade/peers/watch.py
+++ b/cherrygrade/peers/watch.py
@@ -24,7 +24,7 @@
 from cherrygrade.site import Pace
 from cherrygrade.transport.connection import Connection
 
-LOOK_MS, PARTS = 100.0, 8
+LOOK_MS, PARTS, EACH = 100.0, 8, 16  # at most so many parts, of so many connections where there are few
 STALL_MS = 150.0  # a part's look later than this after the last: it was we who stood still
 
 
@@ -81,7 +81,7 @@
         self.memory = Memory(pace.remember_ms)
         self._records: dict[Line, Watched] = {}  # made anew each cycle from what is still there
         self._left: list[Line] = []  # of this cycle, not looked at yet
-        self._share, self._scarce = 1, 0.0
+        self._share, self._parts, self._scarce = 1, PARTS, 0.0
         self._last = self._good_at = self._cut_at = self._stood_still = 0.0
         # Of this cycle so far, and of the last whole one, which is judged by: waited for, slow, heaviest.
         self._waited = self._slow = 0
@@ -104,9 +104,9 @@
         took, self._last = now - self._last, now
         if took > STALL_MS:
             self._stood_still = now
-        self._timer = loop.call_later(LOOK_MS / PARTS / 1000.0, self._look)
         if not self._left:
             self._begin(now)
+        self._timer = loop.call_later(LOOK_MS / self._parts / 1000.0, self._look)
         some, self._left = self._left[: self._share], self._left[self._share :]
         pace, store = self.pace, self.rooms.store
         self._scarce = eased(self._scarce, scarcity(store.used, store.room), took, pace.long_ms)
@@ -133,7 +133,9 @@
         for line in self._lines():
             self._records[line] = old.get(line) or Watched(self.pace, grace, line, None, now)
         self._left = [*self._records]
-        self._share = -(-len(self._left) // PARTS)
+        # A look costs by itself: 80 a second were a dispatcher's most work while nobody came.
+        self._parts = min(PARTS, max(2, -(-len(self._left) // EACH)))
+        self._share = -(-len(self._left) // self._parts)
 
     def _judge(self, record: Watched, scarce: float, least: float, now: float) -> None:
         conn, client, pace = record.conn, record.client, self.pace
