Leases: explored with leaders, holders and a receiver; an answer heard twice brought back what was given

The exploration (lab/holders.py, the product's own leases/ and orders) found it at its first run: x is granted 1, hears it, gives it back, hears the doubled answer and holds 1 again while y is granted 3. Holding.granted left the ask usable; an answer takes its ask with it now.

Gateway: what its clockwork was late by in the last ten seconds is kept back from each client's time (gateway/lateness.py): answers of RPCs that are given up leave by a timer, and on two cores with 200 processes timers ring late.

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -317,7 +317,7 @@
 
 @lab.command(name="explore")
 def lab_explore(
-    model: Literal["members", "voters"] = "members",
+    model: Literal["members", "voters", "leases"] = "members",
     *,
     accusations: int = 1,
     crashes: int = 1,
@@ -327,19 +327,21 @@
     proposals: int = 1,
     most: int = 1_000_000,
 ) -> int:
-    """Every state that three members, or three voters of the council, can come to within these bounds.
+    """Every state that three members, three voters of the council, or a lease can come to within bounds.
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab import members, voters
+    from cherrygrade.lab import holders, members, voters
     from cherrygrade.lab.explore import Found, explore
 
-    found: Found[members.Now] | Found[voters.Now]
+    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now]
     if model == "members":
         bounds = members.Bounds(accusations, crashes, restarts, leaves)
         found = explore(members.Members(bounds), most)
-    else:
+    elif model == "voters":
         found = explore(voters.Voters(voters.Bounds(stands, proposals, crashes)), most)
+    else:
+        found = explore(holders.Holders(holders.Bounds(crashes=crashes, restarts=restarts)), most)
     print(found)
     return 0 if found.whole and not found.breach else 1
 
--- a/cherrygrade/fleet/leases/holding.py
+++ b/cherrygrade/fleet/leases/holding.py
@@ -53,9 +53,9 @@
         return asked + self.for_ms * (1.0 - self.drift) - MARGIN_MS
 
     def granted(self, asked: str, task: str, number: int, now: float) -> bool:
-        """Whether it is held now: an answer that came too late, or to no ask of this life, gives nothing.
-        `asked` stays usable: the same ask may be put again, and counts from its first time."""
-        at = self.asked.get(asked)
+        """Whether it is held now: an answer that came late, again, or to no ask of this life gives nothing.
+        An ask that is put again under its id counts from its first time."""
+        at = self.asked.pop(asked, None)  # heard twice it would bring back what was given back meanwhile
         if at is None or not number or self._runs(at) <= now:
             return False
         known = self.held.get(task)
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -10,6 +10,7 @@
 from cherrygrade.door import Nodes
 from cherrygrade.extents.carrier import Carrier
 from cherrygrade.gateway.follower import Follower
+from cherrygrade.gateway.lateness import Lateness
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke
 from cherrygrade.gateway.links import Link, NodeLine
 from cherrygrade.gateway.roster import Book
@@ -112,7 +113,16 @@
             log,
             lines.source,
         )
-        self.watch = Watch(pace, self.rooms, lambda: self.sessions, self._node_lines, self.come_back_ms, log)
+        self.lateness = Lateness(self.rounds.clock())
+        self.watch = Watch(
+            pace,
+            self.rooms,
+            lambda: self.sessions,
+            self._node_lines,
+            self.come_back_ms,
+            log,
+            self.lateness.saw,
+        )
         self.words: Words | None = None
         if places:
             self.words = Words(places, place.number, place.name, self.rounds.clock, self.rounds.hear, log)
@@ -249,7 +259,7 @@
         workload = self.trade.workloads.get(ask.workload)
         # Clients of one workload that give themselves more time than it has would make the others look late.
         left = min(ask.left_ms, workload.deadline_ms if workload else 1e7) - waited
-        return now + left - self.bounds.answer_ms
+        return now + left - self.bounds.answer_ms - self.lateness.margin(left, now)
 
     def make(
         self,
--- a/cherrygrade/peers/watch.py
+++ b/cherrygrade/peers/watch.py
@@ -75,9 +75,11 @@
         lines: Callable[[], Iterable[Line]],
         come_back_ms: float,
         log: Callable[..., None],
+        late: Callable[[float, float], None] = lambda late_ms, now: None,
     ) -> None:
+        """`late` is told how late each look was, and when: it is the clockwork that always runs."""
         self.pace, self.rooms, self._sessions, self._lines = pace, rooms, sessions, lines
-        self._come_back_ms, self._log = come_back_ms, log
+        self._come_back_ms, self._log, self._late = come_back_ms, log, late
         self.memory = Memory(pace.remember_ms)
         self._records: dict[Line, Watched] = {}  # made anew each cycle from what is still there
         self._left: list[Line] = []  # of this cycle, not looked at yet
@@ -102,6 +104,7 @@
         loop = asyncio.get_running_loop()
         now = loop.time() * 1000.0
         took, self._last = now - self._last, now
+        self._late(took - LOOK_MS / self._parts, now)
         if took > STALL_MS:
             self._stood_still = now
         if not self._left:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
 from cherrygrade.fleet.council.raft import Stored
 from cherrygrade.fleet.council.voter import (
     AskGive,
@@ -245,3 +249,79 @@
     after = {task: min(rest, key=lambda name: turn(task, rest, name)) for task in tasks}
     moved = [task for task in tasks if after[task] != first[task]]
     assert {first[task] for task in moved} == {"d3"} and len({after[task] for task in moved}) >= 8
+
+
+class Days(RuleBasedStateMachine):
+    """Three voters, three holders with clocks of their own pace, two tasks; whatever happens, in any
+    order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.council = Council()
+        self.paces = {"x": 1.0 - 0.9 * DRIFT, "y": 1.0, "z": 1.0 + 0.9 * DRIFT}
+        self.holdings = {name: Holding(name, 1, TTL, DRIFT) for name in self.paces}
+        self.numbers: dict[str, int] = {}
+
+    def at(self, name: str) -> float:
+        return self.council.now * self.paces[name]
+
+    def put(self, ask) -> object:
+        """To whoever takes itself for the leader, cut off or not."""
+        self.council.answers.clear()
+        for name, voter in self.council.voters.items():
+            if voter.raft.leads:
+                self.council.do(name, voter.ask(ask, "asker", self.council.now))
+        self.council.pass_ms(50.0)
+        return next((one for one in self.council.answers if not isinstance(one, Elsewhere)), None)
+
+    @rule(name=st.sampled_from("xyz"), task=st.sampled_from("tu"), lost=st.booleans(), late=st.booleans())
+    def take(self, name: str, task: str, lost: bool, late: bool) -> None:
+        holding = self.holdings[name]
+        asked = holding.ask(self.at(name))
+        answer = self.put(AskTake(asked, task, name, holding.birth, TTL))
+        self.council.pass_ms(1500.0 * late)
+        if isinstance(answer, Took) and not lost:
+            holding.granted(asked, task, answer.told.number, self.at(name))
+
+    @rule(name=st.sampled_from("xyz"), late=st.booleans())
+    def renew(self, name: str, late: bool) -> None:
+        holding = self.holdings[name]
+        asked = holding.ask(self.at(name))
+        answer = self.put(AskRenew(asked, name, holding.birth))
+        self.council.pass_ms(1500.0 * late)
+        if isinstance(answer, Renewed):
+            holding.renewed(asked, answer.numbers, self.at(name))
+
+    @rule(name=st.sampled_from("xyz"), task=st.sampled_from("tu"))
+    def give(self, name: str, task: str) -> None:
+        if number := self.holdings[name].give(task):
+            self.put(AskGive(self.holdings[name].ask(self.at(name)), task, number))
+
+    @rule(ms=st.sampled_from([100.0, 700.0, 1500.0, 3100.0]))
+    def wait(self, ms: float) -> None:
+        self.council.pass_ms(ms)
+
+    @rule(names=st.sets(st.sampled_from(NAMES), max_size=2))
+    def cut(self, names: set[str]) -> None:
+        self.council.cut = names
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart_voter(self, name: str) -> None:
+        self.council.restart(name)
+
+    @rule(name=st.sampled_from("xyz"))
+    def restart_holder(self, name: str) -> None:
+        self.holdings[name] = Holding(name, self.holdings[name].birth + 1, TTL, DRIFT)
+
+    @invariant()
+    def one_at_most(self) -> None:
+        for task in "tu":
+            may = [n for name, one in self.holdings.items() if (n := one.may(task, self.at(name)))]
+            assert len(may) <= 1
+            for number in may:
+                assert number >= self.numbers.get(task, 0)
+                self.numbers[task] = number
+
+
+TestDays = Days.TestCase
+TestDays.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
