--- a/cherrygrade/lab/holders.py
+++ b/cherrygrade/lab/holders.py
@@ -63,7 +63,7 @@
 
     at: int
     true: int
-    index: int
+    newest: int
     lease: Lease | None
     minds: tuple[Mind, ...]
     leads: tuple[Lead, ...]
@@ -110,7 +110,7 @@
 
 
 class Holders:
-    def __init__(self, bounds: Bounds, planted: Planted = Planted()) -> None:  # noqa: B008
+    def __init__(self, bounds: Bounds, planted: Planted = Planted()) -> None:
         self.bounds, self.planted = bounds, planted
         self._told: Told[Word] = Told()
 
@@ -220,8 +220,8 @@
                 yield from self._agree(now, at, word, here)
             elif word.kind == "give" and true and now.lease and now.lease.number == word.number:
                 grants = self._grants(now)
-                grants.apply(now.index + 1, Give(0.0, TASK, word.number))
-                yield "the lease is free", now._replace(index=now.index + 1, lease=grants.leases.get(TASK))
+                grants.apply(now.newest + 1, Give(0.0, TASK, word.number))
+                yield "the lease is free", now._replace(newest=now.newest + 1, lease=grants.leases.get(TASK))
             elif word.kind == "renew" and (true or self.planted.unproven):
                 count = self._count(now.leads[at])
                 numbers = count.renews(self._grants(now), word.holder, word.life, here)
@@ -233,12 +233,12 @@
             count = self._count(now.leads[at])
             if over := count.over(self._grants(now), here):
                 grants = self._grants(now)
-                grants.apply(now.index + 1, Free(0.0, TASK, over[0].number))
-                more = now._replace(index=now.index + 1, lease=grants.leases.get(TASK))
+                grants.apply(now.newest + 1, Free(0.0, TASK, over[0].number))
+                more = now._replace(newest=now.newest + 1, lease=grants.leases.get(TASK))
                 yield f"{name} counted to the end", self._led(more, at, count, None)
 
     def _agree(self, now: Now, at: int, word: Word, here: float) -> Iterator[tuple[str, Now]]:
-        grants, index = self._grants(now), now.index + 1
+        grants, index = self._grants(now), now.newest + 1
         known = next(
             (
                 w
@@ -253,7 +253,7 @@
         count = self._count(now.leads[at])
         count.answered[(word.holder, word.life)] = here
         answer = word._replace(kind="granted", number=told.number)
-        more = now._replace(index=index, lease=grants.leases.get(TASK))
+        more = now._replace(newest=index, lease=grants.leases.get(TASK))
         yield f"{word.holder} is granted {told.number}", self._led(more, at, count, answer)
 
     def _change(self, now: Now) -> Now:
