--- a/cherrygrade/lab/holders.py
+++ b/cherrygrade/lab/holders.py
@@ -2,9 +2,9 @@
 the product's own `leases/` and `council/orders.py`.
 
 The log is taken as agreed where the true leader writes it (that is the voters' model's matter). Real time
-goes in steps; each process has a clock of its own pace, as far apart as the drift allows. Words may come at any
-later time, again, or never; an order comes once, or never, at any later time, which covers a pause between the
-look at the clock and the write. A leader that was deposed goes on as one until it hears of it.
+goes in steps; each process has a clock of its own pace, as far apart as the drift allows. Words may come at
+any later time, again, or never; an order comes once, or never, at any later time, which covers a pause
+between the look at the clock and the write. A leader that was deposed goes on as one until it hears of it.
 """
 
 from __future__ import annotations
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from importlib import resources
 from pathlib import Path
 from typing import Any, TypeVar
 
 import msgspec
 
-from cherrygrade.records.grammar import RecordSyntaxError, parse
+from cherrygrade.records.grammar import RecordSyntaxError, Tree, parse
 from cherrygrade.records.lattice import Vertex, unify
 from cherrygrade.site import (
     Bearings,
@@ -38,7 +39,8 @@
 
 
 def read_vertex(path: Path, schema: str, extra: str = "") -> Vertex:
-    """The file's record and its schema as one. Extra is more text, as if it stood in the file."""
+    """The file's record and its schema as one. Extra is more text, given on a command line: it goes before
+    what the file says under the same names, and is held against the schema alike."""
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as trouble:
@@ -47,12 +49,27 @@
         ours = parse(resources.files("cherrygrade.records").joinpath(schema).read_text(), schema)
         trees = [ours, parse(text, str(path))]
         if extra:
-            trees.append(parse(extra, "given"))
+            given = parse(extra, "given")
+            trees = [ours, _without(trees[1], given), given]
     except RecordSyntaxError as trouble:
         raise RecordError([str(trouble)]) from trouble
     return unify(trees, closed=True)
 
 
+def _without(tree: Tree, given: Tree) -> Tree:
+    """The file's tree without the values that are given; of structs that both have, without their parts."""
+    parts = list(tree.parts)
+    for told in given.parts:
+        for at, field in reversed([*enumerate(parts)]):
+            if told.kind != "field" or (field.kind, field.label) != ("field", told.label):
+                continue
+            if told.value.kind == field.value.kind == "struct":
+                parts[at] = replace(field, value=_without(field.value, told.value))
+            else:
+                del parts[at]
+    return replace(tree, parts=tuple(parts))
+
+
 def plain(vertex: Vertex) -> Any:
     """The record's value. Raises RecordError with all that is wrong or lacking."""
     faults = list(vertex.all_faults())
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -11,7 +11,7 @@
 from cherrygrade.interface import Effect
 from cherrygrade.records.grammar import RecordSyntaxError, parse
 from cherrygrade.records.lattice import unify
-from cherrygrade.records.load import RecordError, read_site
+from cherrygrade.records.load import RecordError, plain, read_site, read_vertex
 
 
 def value(*texts: str):
@@ -109,3 +109,15 @@
         )
     text = str(caught.value)
     assert all(word in text for word in ("'bogus'", "place.number", "plans.p.price", "bounds.most_held"))
+
+
+def test_what_is_given_on_the_command_line_goes_before_the_file():
+    # A scenario for seven dispatchers, asked for twelve, ended with a conflict of records.
+    scenario = Path("scenarios/fleet-small.rec")
+    more = "dispatchers: 12\nsite: bounds: answer_ms: 90\nsite: cold: warm_ms: 9000"
+    told = plain(read_vertex(scenario, "scenario.rec", more))
+    assert told["dispatchers"] == 12 and told["seed"] == 1
+    assert told["site"]["bounds"]["answer_ms"] == 90 and told["site"]["cold"]["warm_ms"] == 9000
+    assert told["site"]["cold"]["units"] == 60  # what stands beside it stays
+    with pytest.raises(RecordError):
+        plain(read_vertex(scenario, "scenario.rec", 'dispatchers: "many"'))
