--- a/benchmarks/fleet_members.py
+++ b/benchmarks/fleet_members.py
@@ -17,11 +17,12 @@
 
 from bench import ROOT
 
-from cherrygrade.lab import fleetaudit, report
-from cherrygrade.lab.audit import judge
-from cherrygrade.lab.many import death
-from cherrygrade.lab.run import play as play_day
-from cherrygrade.lab.yard import Yard, play
+from cherrygrade.lab.audits import fleetaudit
+from cherrygrade.lab.audits.audit import judge
+from cherrygrade.lab.rig import report
+from cherrygrade.lab.rig.run import play as play_day
+from cherrygrade.lab.virtual.many import death
+from cherrygrade.lab.virtual.yard import Yard, play
 from cherrygrade.virtual.datagrams import Rain
 
 DEATH_MS, HEAL_MS, REST_BYTES, CORE_PERMILLE, SERVICE = 5000.0, 5000.0, 2048.0, 5.0, 0.99
@@ -111,7 +112,7 @@
     ]
     dead = [{"at_ms": 2000, "kind": "end", "on": [0, 1, 2, 4, 5, 7, 8]}]
     found = []
-    for program in ((), ("cherrygrade.lab.broken", "16")):
+    for program in ((), ("cherrygrade.lab.audits.broken", "16")):
         file = day(10, True, 21000.0, dead + slow, 200.0)
         file.write_text(json.dumps({**json.loads(file.read_text()), "seed": seed}))
         found.append(played(file, "keepers", *program)[1])
--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -144,7 +144,7 @@
 
     Exit code 0: all of the fleet of record live and are known alike here; 1: not so; 3: nobody told.
     """
-    from cherrygrade.fleet.show import status
+    from cherrygrade.fleet.carriers.show import status
 
     return status(place, as_json)
 
@@ -152,7 +152,7 @@
 @fleet.command(name="watch")
 def fleet_watch(place: str = "127.0.0.1:7500", *, every_s: float = 1.0, times: int = 0) -> int:
     """Show it again and again, until interrupted or so many times."""
-    from cherrygrade.fleet.show import watch
+    from cherrygrade.fleet.carriers.show import watch
 
     return watch(place, every_s, times)
 
@@ -165,7 +165,7 @@
     is not founded again: started with an empty folder it is let in by the others.
     """
     from cherrygrade.errors import Trouble
-    from cherrygrade.fleet.disk import found
+    from cherrygrade.fleet.carriers.disk import found
 
     site = _site(file, given)
     try:
@@ -208,7 +208,7 @@
     """
     import msgspec
 
-    from cherrygrade.lab.roles import run_node
+    from cherrygrade.lab.rig.roles import run_node
     from cherrygrade.standin.node import Build
 
     try:
@@ -224,7 +224,7 @@
     *, listen: str = "127.0.0.1:0", control: str = "127.0.0.1:0", record: Path | None = None
 ) -> None:
     """Run the register's stand-in; prints its port and its control port."""
-    from cherrygrade.lab.roles import run_register
+    from cherrygrade.lab.rig.roles import run_register
 
     asyncio.run(run_register(listen, control, record))
 
@@ -234,7 +234,7 @@
     *, count: int, port: int, bound: int, fleet: str = "lab", seed: int = 0, record: Path | None = None
 ) -> None:
     """Run the ways between dispatchers, with what goes wrong on them; prints its control port."""
-    from cherrygrade.lab.roles import run_ways
+    from cherrygrade.lab.rig.roles import run_ways
 
     asyncio.run(run_ways(count, port, bound, fleet, seed, record))
 
@@ -269,7 +269,7 @@
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
-    from cherrygrade.lab.run import play
+    from cherrygrade.lab.rig.run import play
 
     text = "\n".join([*given, *([f"seed: {seed}"] if seed is not None else [])])
     columns = (TextColumn("{task.description:10}"), BarColumn(), TimeElapsedColumn())
@@ -305,7 +305,7 @@
     """
     more = [f"seed: {seed}", *([f"dispatchers: {dispatchers}"] if dispatchers is not None else [])]
     text = "\n".join([*given, *more])
-    from cherrygrade.lab.run import play
+    from cherrygrade.lab.rig.run import play
 
     try:
         play(scenario, report, text)
@@ -331,8 +331,8 @@
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab import holders, members, voters
-    from cherrygrade.lab.explore import Found, explore
+    from cherrygrade.lab.exploration import holders, members, voters
+    from cherrygrade.lab.exploration.explore import Found, explore
 
     found: Found[members.Now] | Found[voters.Now] | Found[holders.Now]
     if model == "members":
@@ -351,7 +351,7 @@
     """A death in a fleet of so many members, by the product's own decisions and pages, without sockets."""
     import gc
 
-    from cherrygrade.lab.many import death
+    from cherrygrade.lab.virtual.many import death
     from cherrygrade.virtual.datagrams import Rain
 
     gc.disable()  # members by the million, none of them in a circle
@@ -369,14 +369,14 @@
     """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
     from rich.console import Console
 
-    from cherrygrade.lab import report
-    from cherrygrade.lab.audit import judge
-    from cherrygrade.lab.scenario import read_scenario
+    from cherrygrade.lab.audits.audit import judge
+    from cherrygrade.lab.rig import report
+    from cherrygrade.lab.rig.scenario import read_scenario
 
     read = read_scenario(scenario, "\n".join(given))
     verdicts, evidence = judge(read, folder)
     if read.fleet:
-        from cherrygrade.lab import fleetaudit
+        from cherrygrade.lab.audits import fleetaudit
 
         verdicts += fleetaudit.judge(folder)
         told = ", ".join(f"{name} {value:.0f}" for name, value in fleetaudit.figures(folder).items())
@@ -392,7 +392,7 @@
     scenario: Path, *addresses: str, index: int = 0, folder: Path = Path("build/lab"), given: Given = ()
 ) -> None:
     """One load process of a day: prepares, says 'ready', waits for 'go TIME' on standard input."""
-    from cherrygrade.lab.load import load
+    from cherrygrade.lab.rig.load import load
 
     asyncio.run(load(scenario, "\n".join(given), index, list(addresses), folder))
 
@@ -400,7 +400,7 @@
 @lab.command(name="from-day")
 def lab_from_day(day: Path, *, out: Path | None = None) -> int:
     """Turn a bench day file into a scenario for real dispatchers; says what could not be carried over."""
-    from cherrygrade.lab.fromday import convert_day, text_of
+    from cherrygrade.lab.rig.fromday import convert_day, text_of
 
     try:
         record, lacking = convert_day(json.loads(day.read_text()))
@@ -426,9 +426,9 @@
 
     Exit code 0 only if the audit convicts each broken one of its rule, and the sound one of nothing.
     """
-    from cherrygrade.lab.broken import FLEET_WAYS, WAYS
-    from cherrygrade.lab.scenario import read_scenario
-    from cherrygrade.lab.selfcheck import check, describe
+    from cherrygrade.lab.audits.broken import FLEET_WAYS, WAYS
+    from cherrygrade.lab.audits.selfcheck import check, describe
+    from cherrygrade.lab.rig.scenario import read_scenario
 
     all_ways = (0, *(FLEET_WAYS if read_scenario(scenario).fleet else WAYS))
     right = check(scenario, folder, ways or all_ways, lambda *found: print(describe(*found), flush=True))
--- /dev/null
+++ b/cherrygrade/fleet/carriers/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, disk and timers of the fleet. Nothing is decided here."""
--- a/cherrygrade/fleet/ask.py
+++ b/cherrygrade/fleet/carriers/ask.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-from cherrygrade.fleet.places import address
+from cherrygrade.fleet.carriers.places import address
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
 
--- a/cherrygrade/fleet/chamber.py
+++ b/cherrygrade/fleet/carriers/chamber.py
@@ -1,7 +1,8 @@
 """The council's sockets and disk: words between voters, asks of any member, one timer.
 
 Nothing is decided here: `council/voter.py` and `leases/holding.py` do. A step's writes are on disk before
-anything else of it leaves; where the disk takes nothing this voter is none any more.
+anything else of it, or of a later one, leaves; they are made by a thread of their own: RPCs do not wait
+for a disk. Where it takes nothing this voter is none any more.
 """
 
 from __future__ import annotations
@@ -9,18 +10,19 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import lmdb
 import msgspec
 
+from cherrygrade.fleet.carriers.disk import Store, open_store
+from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.council import raft
 from cherrygrade.fleet.council.raft import Stored
 from cherrygrade.fleet.council.voter import Answers, Asks, Does, Elsewhere, Voter
-from cherrygrade.fleet.disk import Store, open_store
 from cherrygrade.fleet.errors import NoVoter, Unreached
-from cherrygrade.fleet.places import address
 from cherrygrade.site import Council
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
@@ -80,6 +82,7 @@
                 self.chamber.lost(self)
 
     def _send(self, data: bytes) -> None:
+        self.chamber.said_bytes += len(data)
         for at in range(0, len(data), PART):
             self.conn.send(Members(data[at : at + PART], at + PART >= len(data)))
 
@@ -127,6 +130,10 @@
         super().__init__(chamber, name)
         self.conn, self.ready = conn, True
 
+    def say(self, kind: bytes, word: Any) -> None:
+        if self.ready:  # else it has gone, and asks again if it wants to know
+            self._send(kind + _encode(word))
+
 
 class Chamber:
     """`lines` by voter, `guests` while they stay, `asks` until they are answered or their time is up."""
@@ -152,18 +159,23 @@
         self.guests: dict[Guest, None] = {}
         self.asks: dict[str, asyncio.Future[Answers]] = {}
         self.leader = ""
+        self.said_bytes = self.writes = 0
         self._turn = 0
         self._timer: asyncio.TimerHandle | None = None
         self._let_in_at = 0.0
         self._led = ""
+        self._disk = ThreadPoolExecutor(1, "council disk")
+        self._steps: deque[tuple[Does, int]] = deque()  # not on disk yet; emptied as they are
+        self._writing: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
-        """Opens the store, where this one votes; StoreError is met by putting the store aside."""
+    async def start(self) -> None:
+        """Opens the store, where this one votes; one that can't be trusted is put aside."""
         if self.name not in self.council.voters:
             return
         try:
-            folder = Path(self.council.folder)
-            self.store, stored, trouble = open_store(folder, self.fleet, self.name, self.birth)
+            place = (Path(self.council.folder), self.fleet, self.name, self.birth)
+            loop = asyncio.get_running_loop()
+            self.store, stored, trouble = await loop.run_in_executor(self._disk, open_store, *place)
         except (OSError, lmdb.Error) as wrong:
             self._stop(wrong)
             return
@@ -189,13 +201,22 @@
             line.conn.close("dispatcher leaves")
         for held in self.asks.values():
             held.cancel()
-        if self.store is not None:
-            self.store.close()
+        if self._writing is not None:
+            self._writing.cancel()
+        self._shut()
+
+    def _shut(self) -> None:
+        """The store, behind what is being written."""
+        store, self.store = self.store, None
+        if store is not None:
+            self._disk.submit(store.close)
+        self._disk.shutdown(wait=False)
 
     def status(self) -> dict[str, Any]:
         """What a person on call is shown; as this one knows it, which may be old where it does not lead."""
         voter = self.voter
         told: dict[str, Any] = {"leader": self.leader, "votes": False, "leases": []}
+        told |= {"said_bytes": self.said_bytes, "writes": self.writes}
         if voter is not None and self.store is not None:
             known, now = voter.raft, self.clock()
             leads = known.leads
@@ -274,13 +295,41 @@
         return self.voter is not None and self.voter.raft.me not in self.voter.raft.voters
 
     def _do(self, does: Does) -> None:
-        voter, store = self.voter, self.store
-        assert voter is not None and store is not None
+        voter = self.voter
+        assert voter is not None
+        self._steps.append((does, voter.raft.last))
+        if self._writing is None:
+            if any(step.writes for step in does.steps):
+                self._writing = asyncio.get_running_loop().create_task(self._write())
+            else:
+                self._steps.clear()
+                self._leave(does)
+        self._set()
+
+    async def _write(self) -> None:
+        """One step after the other: what comes behind one waits for it, whether it writes or not."""
+        loop = asyncio.get_running_loop()
         try:
-            for step in does.steps:
-                store.write(step, voter.raft.last)
+            while self._steps and self.store is not None:
+                does, last = self._steps[0]
+                if any(step.writes for step in does.steps):
+                    await loop.run_in_executor(self._disk, self._put, self.store, does, last)
+                self._steps.popleft()
+                self._leave(does)
         except (OSError, lmdb.Error) as wrong:  # nothing that rests on it may leave
             self._stop(wrong)
+        finally:
+            self._writing = None
+
+    def _put(self, store: Store, does: Does, last: int) -> None:
+        for step in does.steps:
+            store.write(step, last)
+            self.writes += step.writes
+
+    def _leave(self, does: Does) -> None:
+        """What rests on what is on disk."""
+        voter = self.voter
+        if voter is None:
             return
         for to, word in does.mail:
             self._line(to.partition("/")[0]).say(b"r", word)
@@ -292,13 +341,11 @@
         if voter.leader != self._led:
             self._led = self.leader = voter.leader
             self._log("council leader", leader=voter.leader, term=voter.raft.term)
-        self._set()
 
     def _stop(self, wrong: Exception) -> None:
         self.voter = None
-        if self.store is not None:
-            self.store.close()
-            self.store = None
+        self._steps.clear()
+        self._shut()
         trouble = NoVoter(f"the council's store takes nothing: {wrong}")
         self._log("no voter", what=trouble.what, means=trouble.means, do=trouble.do)
 
--- a/cherrygrade/fleet/company.py
+++ b/cherrygrade/fleet/carriers/company.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from cherrygrade.fleet.core import Core
+from cherrygrade.fleet.members.core import Core
 from cherrygrade.interface import Company
 
 
--- a/cherrygrade/fleet/disk.py
+++ b/cherrygrade/fleet/carriers/disk.py
@@ -199,7 +199,7 @@
     page's head make lmdb look where nothing is mapped, which ends whoever reads."""
     if not (folder / "council.mdb").exists():
         return ""
-    line = [sys.executable, "-m", "cherrygrade.fleet.disk", str(folder), fleet, name]
+    line = [sys.executable, "-m", "cherrygrade.fleet.carriers.disk", str(folder), fleet, name]
     try:
         done = subprocess.run(line, capture_output=True, text=True, timeout=TRIED_S)
     except subprocess.TimeoutExpired:
--- a/cherrygrade/fleet/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -14,12 +14,12 @@
 
 import msgspec
 
-from cherrygrade.fleet.core import Core, Mail
-from cherrygrade.fleet.pages import HEAD, MOST_PAGE, Any_, Book, Probe
-from cherrygrade.fleet.places import address
-from cherrygrade.fleet.ration import Ration
-from cherrygrade.fleet.roll import Claim, Facts
-from cherrygrade.fleet.sides import TABLE
+from cherrygrade.fleet.carriers.places import address
+from cherrygrade.fleet.members.core import Core, Mail
+from cherrygrade.fleet.members.pages import HEAD, MOST_PAGE, Any_, Book, Probe
+from cherrygrade.fleet.members.ration import Ration
+from cherrygrade.fleet.members.roll import Claim, Facts
+from cherrygrade.fleet.members.sides import TABLE, Side
 from cherrygrade.interface import Outcome, Send
 from cherrygrade.site import Council, Fleet, Origin
 from cherrygrade.transport.connection import Connection
@@ -27,8 +27,8 @@
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
 
 if TYPE_CHECKING:
-    from cherrygrade.fleet.chamber import Chamber, Guest
-    from cherrygrade.fleet.tasks import Tasks
+    from cherrygrade.fleet.carriers.chamber import Chamber, Guest
+    from cherrygrade.fleet.carriers.tasks import Tasks
 
 EXCHANGE_S = 2.0
 MOST_STREAMS = 16  # that came in and have not ended
@@ -92,11 +92,13 @@
         self._server = await listen(lambda: Stream(self).conn, f"{host}:{port}", MOST_STREAMS)
         self._beat()
         if self.fleet.council is not None:
-            self._sit(self.fleet.council, host)
+            await self._sit(self.fleet.council, host)
 
-    def _sit(self, council: Council, host: str) -> None:
-        from cherrygrade.fleet.chamber import Chamber  # where no council is named, none of it is loaded
-        from cherrygrade.fleet.tasks import Tasks
+    async def _sit(self, council: Council, host: str) -> None:
+        from cherrygrade.fleet.carriers.chamber import (
+            Chamber,  # where no council is named, none of it is loaded
+        )
+        from cherrygrade.fleet.carriers.tasks import Tasks
 
         core = self.core
         self.chamber = Chamber(
@@ -110,13 +112,13 @@
             self._where,
             self._log,
         )
-        self.chamber.start()
+        await self.chamber.start()
         self.tasks = Tasks(
             self.chamber,
             council,
             self._seed,
             self.clock,
-            lambda: [one.name for one in core.roll.living()],
+            lambda: [one.name for one in core.roll.living()] if core.side is Side.MOST else [],
             self._log,
         )
         self.tasks.start()
@@ -139,6 +141,8 @@
             self.core.sent(mark, how, self.clock())
 
     def leave(self) -> None:
+        if self.tasks is not None:
+            self.tasks.leave()
         self._post(self.core.leave(self.clock()))
 
     def close(self) -> None:
--- a/cherrygrade/fleet/tasks.py
+++ b/cherrygrade/fleet/carriers/tasks.py
@@ -10,12 +10,12 @@
 import json
 from collections.abc import Callable
 
-from cherrygrade.fleet.chamber import Chamber
+from cherrygrade.fleet.carriers.chamber import Chamber
+from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.council.voter import AskFree, AskGive, AskRenew, AskTake, Freed, Renewed, Took
 from cherrygrade.fleet.errors import Unreached
 from cherrygrade.fleet.leases.holding import Holding
 from cherrygrade.fleet.leases.wanting import Wanting
-from cherrygrade.fleet.places import address
 from cherrygrade.site import Council
 
 TICK_S = 0.05
@@ -36,6 +36,7 @@
         living: Callable[[], list[str]],
         log: Callable[..., None],
     ) -> None:
+        """`living`: by name; nobody where this one is in no state to do anything for the fleet."""
         self.chamber, self.council, self.clock = chamber, council, clock
         self._living, self._log = living, log
         self.holding = Holding(chamber.name, chamber.birth, council.lease_ms, council.drift)
@@ -51,6 +52,18 @@
             self.drill = Drill(self, self.council.receiver, self.chamber.source)
         self._beat()
 
+    def leave(self) -> None:
+        """This dispatcher ends: what it holds goes back at once, not at its end."""
+        self.wanting.tasks.clear()
+        self._give_all()
+
+    def _give_all(self) -> None:
+        for task in [*self.holding.held]:
+            self._begin(self._give(task))
+
+    async def _give(self, task: str) -> None:
+        await self.give(task)
+
     def close(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -72,7 +85,9 @@
         if renew:
             self._begin(self._renew())
         living = self._living()
-        if len(self.asking) < MOST_ASKS and (some := self.wanting.poll(now, living, {*self.holding.held})):
+        if not living:  # among the few, alone or overloaded: others do it better
+            self._give_all()
+        elif len(self.asking) < MOST_ASKS and (some := self.wanting.poll(now, living, {*self.holding.held})):
             self._begin(self._look(some))
         self._timer = asyncio.get_running_loop().call_later(TICK_S, self._beat)
 
@@ -82,15 +97,14 @@
         task.add_done_callback(self.asking.discard)
 
     async def _renew(self) -> None:
-        asked = self.holding.ask(self.clock())
+        asked, same = self.holding.renew(self.clock())
+        ask = AskRenew(asked, self.holding.name, self.holding.birth, same)
         try:
-            answer = await self.chamber.ask(
-                AskRenew(asked, self.holding.name, self.holding.birth), WITHIN_S
-            )
+            answer = await self.chamber.ask(ask, WITHIN_S)
         except Unreached:
             return
         if isinstance(answer, Renewed):
-            for task in self.holding.renewed(asked, answer.numbers, self.clock()):
+            for task in self.holding.renewed(asked, answer.numbers, self.clock(), answer.same):
                 self._log("lease lost", task=task)
 
     async def _look(self, some: list[str]) -> None:
--- a/cherrygrade/fleet/council/voter.py
+++ b/cherrygrade/fleet/council/voter.py
@@ -17,7 +17,7 @@
 from cherrygrade.fleet.council.raft import Base, Entry, Raft, Stored
 from cherrygrade.fleet.council.raft import Does as Step
 from cherrygrade.fleet.leases.count import NEVER, Count
-from cherrygrade.fleet.leases.grants import Free, Give, Take
+from cherrygrade.fleet.leases.grants import Free, Give, Take, digest
 from cherrygrade.fleet.leases.grants import Told as LeaseTold
 
 COMPACT = 512  # entries, after which the log becomes a snapshot
@@ -44,10 +44,11 @@
 
 
 class AskRenew(Ask, frozen=True, tag="renew"):
-    """All leases of this life."""
+    """All leases of this life. `same`: the digest of what it holds, so that an answer need not say it all."""
 
     holder: str
     birth: int
+    same: int = 0
 
 
 class AskFree(Ask, frozen=True, tag="free"):
@@ -76,7 +77,10 @@
 
 
 class Renewed(Answer, frozen=True, tag="renewed"):
+    """`same`: all that was asked for, and nothing else, is renewed; else `numbers` is."""
+
     numbers: dict[str, int]
+    same: bool = False
 
 
 class Freed(Answer, frozen=True, tag="freed"):
@@ -158,7 +162,7 @@
         if now >= self.raft.due():
             self._step(self.raft.tick(now), does, now)
         if self._leads:
-            for lease in self.count.over(self.books.leases, now)[:FREE_AT_ONCE]:
+            for lease in self.count.over(self.books.leases, now, FREE_AT_ONCE):
                 self._propose(books.lease(Free(self._at(now), lease.task, lease.number)), does, now)
         if now >= self._prove_at:
             self._prove(does, now)
@@ -271,7 +275,9 @@
     def _proven(self, ask: Asks, now: float) -> Answers:
         leases = self.books.leases
         if isinstance(ask, AskRenew):
-            return Renewed(ask.id, self.count.renews(leases, ask.holder, ask.birth, now))
+            numbers = self.count.renews(leases, ask.holder, ask.birth, now)
+            same = bool(numbers) and digest(numbers.items()) == ask.same
+            return Renewed(ask.id, {} if same else numbers, same)
         if isinstance(ask, AskFree):
             return Freed(ask.id, [task for task in ask.tasks if leases.free(task, self._at(now))])
         return Shown(
--- a/cherrygrade/fleet/leases/count.py
+++ b/cherrygrade/fleet/leases/count.py
@@ -38,24 +38,34 @@
         return {t: n for t, n in grants.of(holder, birth).items() if n not in self.freeing}
 
     def ends(self, lease: Lease) -> float:
-        since = max(self.begun, self.answered.get((lease.holder, lease.birth), -NEVER))
-        return since + lease.for_ms * (1.0 + self.drift)
-
-    def over(self, grants: Grants, now: float) -> list[Lease]:
-        """Those whose time is counted to the end; each is told once in a lead."""
-        found = [
-            one for one in grants.leases.values() if one.number not in self.freeing and self.ends(one) <= now
-        ]
-        self.freeing |= {one.number for one in found}
-        living = {one.number for one in grants.leases.values()}
-        self.freeing &= living
-        lives = {(one.holder, one.birth) for one in grants.leases.values()}
-        self.answered = {life: at for life, at in self.answered.items() if life in lives}
+        return self._since((lease.holder, lease.birth)) + lease.for_ms * (1.0 + self.drift)
+
+    def _since(self, life: tuple[str, int]) -> float:
+        return max(self.begun, self.answered.get(life, -NEVER))
+
+    def over(self, grants: Grants, now: float, most: int = 1 << 30) -> list[Lease]:
+        """Those whose time is counted to the end, so many at most; each is told once in a lead. What it costs
+        goes by how many live, not by how many leases they hold."""
+        found: list[Lease] = []
+        for life, leases in grants.lives.items():
+            if len(found) >= most or now < self._first(grants, life):
+                continue
+            free = [one for one in leases.values() if one.number not in self.freeing]
+            found += [one for one in free if self.ends(one) <= now][: most - len(found)]
+        if found:
+            self.freeing |= {one.number for one in found}
+            self.freeing &= {one.number for one in grants.leases.values()}
+        self.answered = {life: at for life, at in self.answered.items() if life in grants.lives}
         return found
 
     def due(self, grants: Grants) -> float:
-        """When the next is over."""
-        return min(
-            (self.ends(one) for one in grants.leases.values() if one.number not in self.freeing),
-            default=NEVER,
-        )
+        """When one may be over next; it is looked for a life at a time."""
+        counts = [life for life, leases in grants.lives.items() if self._counts(leases)]
+        return min((self._first(grants, life) for life in counts), default=NEVER)
+
+    def _first(self, grants: Grants, life: tuple[str, int]) -> float:
+        """None of this life's is over before."""
+        return self._since(life) + grants.least[life] * (1.0 + self.drift)
+
+    def _counts(self, leases: dict[str, Lease]) -> bool:
+        return not self.freeing or any(one.number not in self.freeing for one in leases.values())
--- a/cherrygrade/fleet/leases/grants.py
+++ b/cherrygrade/fleet/leases/grants.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
 MOST_ASKS = 1024  # of answers kept for who asks again
 MOST_TASKS = 20_000
@@ -83,12 +85,23 @@
     asks: list[tuple[str, Told]]
 
 
+def digest(numbers: Iterable[tuple[str, int]]) -> int:
+    """Of tasks and numbers, in whatever order: equal where a holder and the log know the same."""
+    found = 0
+    for task, number in numbers:
+        found ^= int(xxhash.xxh3_64_intdigest(f"{task}\0{number}".encode()))
+    return found
+
+
 class Grants:
-    """`leases` by task, emptied by their ends; `failed` by a task done, or the oldest of MOST_FAILS."""
+    """`leases` by task and `lives` by holder and birth, emptied by their ends; `failed` by a task done, or
+    the oldest of MOST_FAILS."""
 
     def __init__(self) -> None:
         self.now = 0.0
         self.leases: dict[str, Lease] = {}
+        self.lives: dict[tuple[str, int], dict[str, Lease]] = {}
+        self.least: dict[tuple[str, int], float] = {}  # for_ms that any of a life's had; goes with the life
         self.failed: OrderedDict[str, Failed] = OrderedDict()
         self.asks: OrderedDict[str, Told] = OrderedDict()
 
@@ -99,7 +112,7 @@
         held = self.leases.get(op.task)
         if held is None or held.number != op.number:
             return Told(waits=f"{op.task} is not held by number {op.number}")
-        del self.leases[op.task]
+        self._drop(held)
         if isinstance(op, Give):
             self._gave(op)
         return Told(op.number)
@@ -118,7 +131,7 @@
         if len(self.leases) >= MOST_TASKS:
             return Told(waits=f"{MOST_TASKS} tasks are held, and no more can be")
         for_ms = min(LONGEST_MS, max(LEAST_MS, op.for_ms))
-        self.leases[op.task] = Lease(index, op.task, op.holder, op.birth, for_ms)
+        self._hold(Lease(index, op.task, op.holder, op.birth, for_ms))
         told = self.asks[op.id] = Told(index, holder=op.holder)
         while len(self.asks) > MOST_ASKS:
             self.asks.popitem(last=False)
@@ -135,9 +148,20 @@
 
     def of(self, holder: str, birth: int) -> dict[str, int]:
         """Numbers by task, of one life."""
-        return {
-            one.task: one.number for one in self.leases.values() if (one.holder, one.birth) == (holder, birth)
-        }
+        return {one.task: one.number for one in self.lives.get((holder, birth), {}).values()}
+
+    def _hold(self, lease: Lease) -> None:
+        self.leases[lease.task] = lease
+        life = (lease.holder, lease.birth)
+        self.lives.setdefault(life, {})[lease.task] = lease
+        self.least[life] = min(lease.for_ms, self.least.get(life, LONGEST_MS))
+
+    def _drop(self, lease: Lease) -> None:
+        del self.leases[lease.task]
+        life = (lease.holder, lease.birth)
+        del self.lives[life][lease.task]
+        if not self.lives[life]:
+            del self.lives[life], self.least[life]
 
     def free(self, task: str, at: float) -> bool:
         """Whether it would be granted at this time of the leaders'."""
@@ -149,5 +173,7 @@
 
     def restore(self, state: State) -> None:
         self.now = state.now
-        self.leases = {one.task: one for one in state.leases}
+        self.leases, self.lives, self.least = {}, {}, {}
+        for one in state.leases:
+            self._hold(one)
         self.failed, self.asks = OrderedDict(state.failed), OrderedDict(state.asks)
--- a/cherrygrade/fleet/leases/holding.py
+++ b/cherrygrade/fleet/leases/holding.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from cherrygrade.fleet.leases.grants import digest
+
 MARGIN_MS = 50.0  # that an order may take from the look at the clock to the socket
 PART = 3.0  # a lease is renewed after a third of its time, and again after each quarter of that
 MOST_OPEN = 64  # asks whose answers may still come; the oldest go
@@ -38,6 +40,7 @@
         self.asked: dict[str, float] = {}
         self.lost = 0
         self._count = 0
+        self._renewing: tuple[str, dict[str, int]] = ("", {})
         self._renew_at = NEVER
 
     def ask(self, now: float) -> str:
@@ -64,11 +67,23 @@
         self._renew_at = min(self._renew_at, at + self.for_ms / PART)
         return self.held[task].number == number
 
-    def renewed(self, asked: str, numbers: dict[str, int], now: float) -> list[str]:
-        """The leader's answer to a renewal; gives the tasks that are lost by it."""
+    def renew(self, now: float) -> tuple[str, int]:
+        """An ask for all that is held leaves now; its id and the digest of that."""
+        numbers = {task: held.number for task, held in self.held.items()}
+        asked = self.ask(now)
+        self._renewing = (asked, numbers)
+        return asked, digest(numbers.items())
+
+    def renewed(self, asked: str, numbers: dict[str, int], now: float, same: bool = False) -> list[str]:
+        """The leader's answer to a renewal; gives the tasks that are lost by it. `same`: it renews all that
+        was held as the ask left."""
         at = self.asked.pop(asked, None)
         if at is None:
             return []
+        if same:
+            of, numbers = self._renewing
+            if of != asked:
+                return []
         lost = []
         for task, held in [*self.held.items()]:
             if numbers.get(task) == held.number:
--- a/cherrygrade/fleet/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -10,14 +10,14 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from cherrygrade.fleet import seats
-from cherrygrade.fleet.keepers import Keepers
-from cherrygrade.fleet.pages import Answer, Any_, Ask, Carried, Probe, Push, Spoken
-from cherrygrade.fleet.probing import DIRECT_MS, PERIOD_MS, Does, Probing
-from cherrygrade.fleet.roll import Claim, Facts, Member, Roll, Standing, sound
-from cherrygrade.fleet.seen import Seen
-from cherrygrade.fleet.sides import ALONE_MS, TABLE, Follows, Side, side
-from cherrygrade.fleet.telling import AGAIN_MS, FAN, Exchanges, News
+from cherrygrade.fleet.members import seats
+from cherrygrade.fleet.members.keepers import Keepers
+from cherrygrade.fleet.members.pages import Answer, Any_, Ask, Carried, Probe, Push, Spoken
+from cherrygrade.fleet.members.probing import DIRECT_MS, PERIOD_MS, Does, Probing
+from cherrygrade.fleet.members.roll import Claim, Facts, Member, Roll, Standing, sound
+from cherrygrade.fleet.members.seen import Seen
+from cherrygrade.fleet.members.sides import ALONE_MS, TABLE, Follows, Side, side
+from cherrygrade.fleet.members.telling import AGAIN_MS, FAN, Exchanges, News
 
 KEEP_MS = 600_000.0  # the dead are remembered so long
 CONTACT_MS = 500.0  # between two tries of a contact, while nobody is known
--- a/cherrygrade/fleet/pages.py
+++ b/cherrygrade/fleet/members/pages.py
@@ -15,8 +15,8 @@
 import xxhash
 from msgspec import Meta
 
-from cherrygrade.fleet.roll import Claim
-from cherrygrade.fleet.seen import Met
+from cherrygrade.fleet.members.roll import Claim
+from cherrygrade.fleet.members.seen import Met
 
 MAGIC = b"cgF1"
 HEAD = struct.Struct(">4sIQ")
--- a/cherrygrade/fleet/probing.py
+++ b/cherrygrade/fleet/members/probing.py
@@ -23,7 +23,7 @@
 from math import exp2, log
 from zlib import crc32
 
-from cherrygrade.fleet.roll import Claim, Member, Roll, Standing
+from cherrygrade.fleet.members.roll import Claim, Member, Roll, Standing
 
 PERIOD_MS = 400.0
 DIRECT_MS = 150.0  # for the member's own answer, before others are asked
--- a/cherrygrade/fleet/seats.py
+++ b/cherrygrade/fleet/members/seats.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from cherrygrade.fleet.roll import Member, Roll
+from cherrygrade.fleet.members.roll import Member, Roll
 
 
 def rank(member: Member) -> tuple[int, str]:
--- a/cherrygrade/fleet/telling.py
+++ b/cherrygrade/fleet/members/telling.py
@@ -16,7 +16,7 @@
 from math import ceil, log2
 from zlib import crc32
 
-from cherrygrade.fleet.roll import Claim, Roll
+from cherrygrade.fleet.members.roll import Claim, Roll
 
 TELL_FACTOR = 1.0  # an item is told so many times the logarithm of the fleet's size, then no more
 LEAST_TOLD = 2
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -30,7 +30,7 @@
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 if TYPE_CHECKING:
-    from cherrygrade.fleet.party import Party
+    from cherrygrade.fleet.carriers.party import Party
 
 TELL_S = 60.0
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
@@ -69,8 +69,10 @@
         self.party: Party | None = None
         company = None
         if fleet is not None:
-            from cherrygrade.fleet.company import Fellows  # where no fleet is named, none of it is loaded
-            from cherrygrade.fleet.party import Party
+            from cherrygrade.fleet.carriers.company import (
+                Fellows,  # where no fleet is named, none of it is loaded
+            )
+            from cherrygrade.fleet.carriers.party import Party
 
             seat, loop = place.number, asyncio.get_running_loop()
             self.party = Party(
--- a/cherrygrade/lab/audit.py
+++ b/cherrygrade/lab/audits/audit.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from cherrygrade.interface import Effect, Workload
-from cherrygrade.lab.load import STAMP, content
-from cherrygrade.lab.scenario import Scenario, site_of
+from cherrygrade.lab.rig.load import STAMP, content
+from cherrygrade.lab.rig.scenario import Scenario, site_of
 from cherrygrade.site import Site
 
 SLACK_MS = 60.0
--- a/cherrygrade/lab/broken.py
+++ b/cherrygrade/lab/audits/broken.py
@@ -1,6 +1,7 @@
 """Dispatchers deliberately broken, one way for each rule, so that the audit can be seen to convict.
 
-`python -m cherrygrade.lab.broken WAY FILE` serves like `cherrygrade serve FILE`, but for the one breach.
+`python -m cherrygrade.lab.audits.broken WAY FILE` serves like `cherrygrade serve FILE`, but for the one
+breach.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from typing import Any
 
 from cherrygrade import policy
-from cherrygrade.fleet import core, keepers, probing, roll, seats
+from cherrygrade.fleet.members import core, keepers, probing, roll, seats
 from cherrygrade.gateway import roster
 from cherrygrade.gateway.life import serve
 from cherrygrade.gateway.process import Gateway
--- a/cherrygrade/lab/fleetaudit.py
+++ b/cherrygrade/lab/audits/fleetaudit.py
@@ -15,9 +15,9 @@
 from itertools import pairwise
 from pathlib import Path
 
-from cherrygrade.fleet.pages import Ask, Book
-from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
-from cherrygrade.lab.audit import Verdict, lines
+from cherrygrade.fleet.members.pages import Ask, Book
+from cherrygrade.fleet.members.roll import Claim, Facts, Member, Standing
+from cherrygrade.lab.audits.audit import Verdict, lines
 from cherrygrade.standin.ways import ENTRY, FLEET
 
 KNOWN_MS = 5000.0  # from a death to all that live knowing it
--- a/cherrygrade/lab/selfcheck.py
+++ b/cherrygrade/lab/audits/selfcheck.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from cherrygrade.lab import fleetaudit
-from cherrygrade.lab.audit import RULES, Verdict, judge
-from cherrygrade.lab.run import Day
-from cherrygrade.lab.scenario import read_scenario
+from cherrygrade.lab.audits import fleetaudit
+from cherrygrade.lab.audits.audit import RULES, Verdict, judge
+from cherrygrade.lab.rig.run import Day
+from cherrygrade.lab.rig.scenario import read_scenario
 
 TOGETHER = 3  # days at once: more would make each other late
 
@@ -25,7 +25,7 @@
         place.mkdir(parents=True, exist_ok=True)
         for old in place.iterdir():
             old.unlink()
-        program = ["cherrygrade", "serve"] if not way else ["cherrygrade.lab.broken", str(way)]
+        program = ["cherrygrade", "serve"] if not way else ["cherrygrade.lab.audits.broken", str(way)]
         async with slots:
             await Day(scenario, file, "", place, program, lambda what, part: None).play()
         verdicts, _ = judge(scenario, place)
--- /dev/null
+++ b/cherrygrade/lab/exploration/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the product's own decisions, and every state that they come to."""
--- a/cherrygrade/lab/holders.py
+++ b/cherrygrade/lab/exploration/holders.py
@@ -17,7 +17,7 @@
 from cherrygrade.fleet.leases.count import Count
 from cherrygrade.fleet.leases.grants import Free, Give, Grants, Lease, Take
 from cherrygrade.fleet.leases.holding import Held, Holding
-from cherrygrade.lab.explore import Breach, Told
+from cherrygrade.lab.exploration.explore import Breach, Told
 
 TASK, FOR_MS, DRIFT, STEP_MS = "t", 2000.0, 0.25, 500.0
 HOLDERS, LEADERS = ("x", "y"), ("a", "b")
@@ -135,7 +135,7 @@
     def _grants(self, now: Now) -> Grants:
         grants = Grants()
         if now.lease is not None:
-            grants.leases[TASK] = now.lease
+            grants._hold(now.lease)
         return grants
 
     def _count(self, lead: Lead) -> Count:
--- a/cherrygrade/lab/members.py
+++ b/cherrygrade/lab/exploration/members.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from cherrygrade.fleet.core import Core
-from cherrygrade.fleet.pages import Probe
-from cherrygrade.fleet.probing import Does
-from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
-from cherrygrade.lab.explore import Breach, Told
+from cherrygrade.fleet.members.core import Core
+from cherrygrade.fleet.members.pages import Probe
+from cherrygrade.fleet.members.probing import Does
+from cherrygrade.fleet.members.roll import Claim, Facts, Member, Standing
+from cherrygrade.lab.exploration.explore import Breach, Told
 
 NAMES = ("a", "b", "c")
 FACTS = {name: Facts(f"10.0.0.{at}:1", seat=at) for at, name in enumerate(NAMES)}
--- a/cherrygrade/lab/voters.py
+++ b/cherrygrade/lab/exploration/voters.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from cherrygrade.fleet.council.raft import Any_, Base, Entry, Raft, Role, Stored
-from cherrygrade.lab.explore import Breach, Told
+from cherrygrade.lab.exploration.explore import Breach, Told
 
 NAMES = ("a", "b", "c")
 FIRST = Base(voters=NAMES)
--- a/cherrygrade/lab/load.py
+++ b/cherrygrade/lab/rig/load.py
@@ -16,7 +16,7 @@
 
 from cherrygrade.client import Answer, Client, Errored, Ok, Rejected
 from cherrygrade.interface import Effect, Workload
-from cherrygrade.lab.scenario import Scenario, Stream, read_scenario
+from cherrygrade.lab.rig.scenario import Scenario, Stream, read_scenario
 from cherrygrade.records.load import plain, read_vertex, site_from
 from cherrygrade.site import Trade
 from cherrygrade.standin.record import Record
--- a/cherrygrade/lab/report.py
+++ b/cherrygrade/lab/rig/report.py
@@ -11,7 +11,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from cherrygrade.lab.audit import RULES, Evidence, Verdict
+from cherrygrade.lab.audits.audit import RULES, Evidence, Verdict
 
 SECOND = 1000.0
 
--- a/cherrygrade/lab/run.py
+++ b/cherrygrade/lab/rig/run.py
@@ -7,14 +7,15 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from cherrygrade.lab.scenario import Scenario, Trouble, read_scenario, write_site
+import psutil
+
+from cherrygrade.lab.rig.scenario import Scenario, Trouble, read_scenario, write_site
 from cherrygrade.standin.control import Controller
 from cherrygrade.standin.record import Record
 from cherrygrade.standin.ways import (
@@ -337,12 +338,12 @@
         for number, child in enumerate(self.dispatchers):
             if child.process is not None and child.process.returncode is None:
                 try:
-                    stat = Path(f"/proc/{child.process.pid}/stat").read_text().rpartition(")")[2].split()
-                except OSError:
+                    seen = psutil.Process(child.process.pid)
+                    times, memory = seen.cpu_times(), seen.memory_info()
+                except psutil.Error:
                     continue
-                seconds = (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
-                pages = int(stat[21]) * os.sysconf("SC_PAGE_SIZE") // 1024
-                self.note.note("use", number, self.lives[number], seconds, pages)
+                seconds = times.user + times.system
+                self.note.note("use", number, self.lives[number], seconds, memory.rss // 1024)
 
     async def _trouble(self, trouble: Trouble, start: float) -> None:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/cherrygrade/lab/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Days in virtual time, in one process."""
--- a/cherrygrade/lab/many.py
+++ b/cherrygrade/lab/virtual/many.py
@@ -14,9 +14,9 @@
 from statistics import median
 from typing import Any
 
-from cherrygrade.fleet.core import Core, Mail
-from cherrygrade.fleet.pages import MOST_PAGE, Book, Probe
-from cherrygrade.fleet.roll import Claim, Facts, Standing
+from cherrygrade.fleet.members.core import Core, Mail
+from cherrygrade.fleet.members.pages import MOST_PAGE, Book, Probe
+from cherrygrade.fleet.members.roll import Claim, Facts, Standing
 from cherrygrade.virtual.datagrams import Rain
 
 BORN = 1_700_000_000_000
--- a/cherrygrade/lab/virtual.py
+++ b/cherrygrade/lab/virtual/virtual.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from cherrygrade.gateway.process import Gateway
-from cherrygrade.lab.load import Loader
-from cherrygrade.lab.roles import write_bytes
-from cherrygrade.lab.run import Day
-from cherrygrade.lab.scenario import Scenario, Trouble, read_scenario, site_of, write_site
+from cherrygrade.lab.rig.load import Loader
+from cherrygrade.lab.rig.roles import write_bytes
+from cherrygrade.lab.rig.run import Day
+from cherrygrade.lab.rig.scenario import Scenario, Trouble, read_scenario, site_of, write_site
 from cherrygrade.policy import Dispatcher
 from cherrygrade.site import Place, Site
 from cherrygrade.standin.node import Node
--- a/cherrygrade/lab/yard.py
+++ b/cherrygrade/lab/virtual/yard.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import Any
 
-from cherrygrade.fleet.party import Party
-from cherrygrade.fleet.roll import Standing
+from cherrygrade.fleet.carriers.party import Party
+from cherrygrade.fleet.members.roll import Standing
 from cherrygrade.site import Fleet, Origin
 from cherrygrade.virtual.datagrams import Rain
 from cherrygrade.virtual.guard import guarded
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -135,8 +135,8 @@
 @dataclass(frozen=True, slots=True)
 class Council:
     """Voters by the names of dispatchers; folder: of a voter's store; drift: by how much two clocks' pace may
-    differ at most; drills: tasks that are done for nothing but to see that leases work, at a receiver's
-    place."""
+    differ at most; drills: tasks that are held for nothing but to see that leases work, and ordered at a
+    receiver, where one is named."""
 
     voters: list[str]
     folder: str = ""
@@ -198,8 +198,6 @@
                 found.append(("fleet.council.voters", "one, three, five or seven names, each once"))
             if self.place.name in council.voters and not council.folder:
                 found.append(("fleet.council.folder", "lacking, and this one votes"))
-            if council.drills and not council.receiver:
-                found.append(("fleet.council.receiver", "lacking, and there are drills"))
         if self.fleet is not None and places:
             found.append(("words.places", "given beside fleet: words go by the fleet"))
             return found
--- a/cherrygrade/standin/ways.py
+++ b/cherrygrade/standin/ways.py
@@ -18,8 +18,8 @@
 from pathlib import Path
 from typing import Any
 
-from cherrygrade.fleet.pages import Book, Probe, Push
-from cherrygrade.fleet.roll import Claim, Standing
+from cherrygrade.fleet.members.pages import Book, Probe, Push
+from cherrygrade.fleet.members.roll import Claim, Standing
 from cherrygrade.standin.control import open_control, port_of
 
 ENTRY = struct.Struct(">dHH?H")  # of the log: when, from, to, whether it was lost, bytes that follow
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -10,8 +10,8 @@
 import pytest
 
 from cherrygrade.fleet.council.raft import Append, Appended, AskVote, Base, Does, Entry, Raft, Role, Stored
-from cherrygrade.lab.explore import explore
-from cherrygrade.lab.voters import Bounds, Voters
+from cherrygrade.lab.exploration.explore import explore
+from cherrygrade.lab.exploration.voters import Bounds, Voters
 
 FIVE = ("a", "b", "c", "d", "e")
 
--- a/tests/test_council_disk.py
+++ b/tests/test_council_disk.py
@@ -11,15 +11,15 @@
 
 import pytest
 
+from cherrygrade.fleet.carriers.disk import Store, StoreError, open_store
 from cherrygrade.fleet.council.raft import Base, Does, Entry, Stored
-from cherrygrade.fleet.disk import Store, StoreError, open_store
 
 ROOT = Path(__file__).parent.parent
 WRITER = """
 import sys
 from pathlib import Path
 from cherrygrade.fleet.council.raft import Base, Does, Entry
-from cherrygrade.fleet.disk import Store
+from cherrygrade.fleet.carriers.disk import Store
 store = Store(Path(sys.argv[1]), "f", "a", "m")
 found = store.load()
 last, term = found.base.index + len(found.entries), found.term
@@ -92,7 +92,7 @@
     file.write_bytes(data)
     # In a process of its own: what is mapped and not there would end it.
     code = (
-        "import sys; from pathlib import Path; from cherrygrade.fleet.disk import open_store\n"
+        "import sys; from pathlib import Path; from cherrygrade.fleet.carriers.disk import open_store\n"
         "store, held, why = open_store(Path(sys.argv[1]), 'f', 'a', 5)\n"
         "print(store.me, held.term, held.vote, [e.payload for e in held.entries], bool(why))"
     )
--- a/tests/test_council_processes.py
+++ b/tests/test_council_processes.py
@@ -13,7 +13,7 @@
 from house import House, run
 from test_fleet_processes import ROOT, Company
 
-from cherrygrade.fleet.disk import found
+from cherrygrade.fleet.carriers.disk import found
 from cherrygrade.standin.receiver import judge
 
 LEASE_MS = 1500.0
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from cherrygrade.fleet import core, probing, roll
-from cherrygrade.lab.explore import Breach, explore
-from cherrygrade.lab.members import Bounds, Members
+from cherrygrade.fleet.members import core, probing, roll
+from cherrygrade.lab.exploration.explore import Breach, explore
+from cherrygrade.lab.exploration.members import Bounds, Members
 
 
 class Counter:
--- a/tests/test_explore_leases.py
+++ b/tests/test_explore_leases.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cherrygrade.lab.explore import explore
-from cherrygrade.lab.holders import Bounds, Holders, Planted
+from cherrygrade.lab.exploration.explore import explore
+from cherrygrade.lab.exploration.holders import Bounds, Holders, Planted
 
 QUIET = {"orders": 0, "crashes": 0, "restarts": 0, "gives": False}
 
--- a/tests/test_fleet_many.py
+++ b/tests/test_fleet_many.py
@@ -1,6 +1,6 @@
 """Fleets in hundreds and thousands, by the decisions alone: what may not grow with the fleet."""
 
-from cherrygrade.lab.many import Many, death
+from cherrygrade.lab.virtual.many import Many, death
 from cherrygrade.virtual.datagrams import Rain
 
 ROUGH = Rain(lost=0.05, jitter_ms=2.0)
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cherrygrade.fleet.core import Core
-from cherrygrade.fleet.pages import HEAD, MOST_PAGE, Answer, Book, Probe, Push, Spoken
-from cherrygrade.fleet.roll import Claim, Facts, Standing
+from cherrygrade.fleet.members.core import Core
+from cherrygrade.fleet.members.pages import HEAD, MOST_PAGE, Answer, Book, Probe, Push, Spoken
+from cherrygrade.fleet.members.roll import Claim, Facts, Standing
 
 ALIVE = [
     Claim(f"d{n}", 1, 0, Standing.ALIVE, Facts(f"10.0.0.{n}:1", "zone", "0.2.0", "ab", n)) for n in range(40)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -15,7 +15,7 @@
 from house import House, run
 
 from cherrygrade.client import Client, Ok
-from cherrygrade.fleet.ask import ask
+from cherrygrade.fleet.carriers.ask import ask
 
 ROOT = Path(__file__).parent.parent
 COUNT = 5
--- a/tests/test_fleet_ration.py
+++ b/tests/test_fleet_ration.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cherrygrade.fleet.probing import DIRECT_MS, LEAST_MS, PERIOD_MS, SLOWEST_MS, Probing
-from cherrygrade.fleet.ration import A_SECOND, BURST, MOST_WAITING, STALE_MS, Ration
-from cherrygrade.fleet.roll import Claim, Facts, Roll, Standing
+from cherrygrade.fleet.members.probing import DIRECT_MS, LEAST_MS, PERIOD_MS, SLOWEST_MS, Probing
+from cherrygrade.fleet.members.ration import A_SECOND, BURST, MOST_WAITING, STALE_MS, Ration
+from cherrygrade.fleet.members.roll import Claim, Facts, Roll, Standing
 
 
 def drain(ration: Ration[str], now: float) -> list[str]:
--- a/tests/test_fleet_roll.py
+++ b/tests/test_fleet_roll.py
@@ -5,12 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cherrygrade.fleet import keepers, seats
-from cherrygrade.fleet.core import Core
-from cherrygrade.fleet.keepers import Keepers
-from cherrygrade.fleet.probing import Does, Probing
-from cherrygrade.fleet.roll import Claim, Facts, Roll, Standing, join
-from cherrygrade.fleet.sides import TABLE, Side, side
+from cherrygrade.fleet.members import keepers, seats
+from cherrygrade.fleet.members.core import Core
+from cherrygrade.fleet.members.keepers import Keepers
+from cherrygrade.fleet.members.probing import Does, Probing
+from cherrygrade.fleet.members.roll import Claim, Facts, Roll, Standing, join
+from cherrygrade.fleet.members.sides import TABLE, Side, side
 
 ME = Claim("me", 1000, 0, Standing.ALIVE, Facts("10.0.0.1:1", seat=0))
 NAMES = ("a", "b", "c")
--- a/tests/test_fleet_seen.py
+++ b/tests/test_fleet_seen.py
@@ -2,8 +2,8 @@
 
 from rich.console import Console
 
-from cherrygrade.fleet.seen import FRESH_MS, Met, Seen, View
-from cherrygrade.fleet.show import draw
+from cherrygrade.fleet.carriers.show import draw
+from cherrygrade.fleet.members.seen import FRESH_MS, Met, Seen, View
 
 
 def told(seen: Seen, now: float, *troubled: bool, node: int = 7) -> None:
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from cherrygrade.fleet.roll import Standing
-from cherrygrade.fleet.sides import Side
-from cherrygrade.lab.yard import Yard, play
+from cherrygrade.fleet.members.roll import Standing
+from cherrygrade.fleet.members.sides import Side
+from cherrygrade.lab.virtual.yard import Yard, play
 from cherrygrade.virtual.datagrams import Rain
 
 KNOWN_MS = 5000.0  # a death is known to all within this
@@ -166,7 +166,7 @@
         await yard.until(yard.equal, 8000.0)
         party = yard.parties[0][1]
         stranger = type(party.book)("another")
-        from cherrygrade.fleet.pages import Probe
+        from cherrygrade.fleet.members.pages import Probe
 
         party.came(stranger.write(Probe("x0", 1, 1, 1)), ("10.0.0.99", 7500))
         assert party.book.wrong == {"another fleet": 1} and len(party.core.roll.living()) == 4
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from cherrygrade.lab.audit import judge
-from cherrygrade.lab.fromday import CARRIED, convert_day, text_of
-from cherrygrade.lab.scenario import read_scenario, write_site
+from cherrygrade.lab.audits.audit import judge
+from cherrygrade.lab.rig.fromday import CARRIED, convert_day, text_of
+from cherrygrade.lab.rig.scenario import read_scenario, write_site
 
 
 def day(*troubles):
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from cherrygrade.fleet.pages import Book, Probe, Push, Spoken
-from cherrygrade.fleet.roll import Claim, Facts, Member, Standing
-from cherrygrade.lab import fleetaudit
+from cherrygrade.fleet.members.pages import Book, Probe, Push, Spoken
+from cherrygrade.fleet.members.roll import Claim, Facts, Member, Standing
+from cherrygrade.lab.audits import fleetaudit
 from cherrygrade.standin.ways import ENTRY, FLEET
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -90,10 +90,10 @@
         return holding.granted(asked, task, answer.told.number, self.now)
 
     def renew(self, holding: Holding) -> None:
-        asked = holding.ask(self.now)
-        answer = self.ask(AskRenew(asked, holding.name, holding.birth))
+        asked, same = holding.renew(self.now)
+        answer = self.ask(AskRenew(asked, holding.name, holding.birth, same))
         if isinstance(answer, Renewed):
-            holding.renewed(asked, answer.numbers, self.now)
+            holding.renewed(asked, answer.numbers, self.now, answer.same)
 
 
 def test_one_holds_a_task_and_the_next_one_once_its_time_is_counted_out_by_both():
@@ -116,6 +116,9 @@
     for _ in range(10):
         council.pass_ms(1000.0)
         council.renew(one)
+    asked, same = one.renew(council.now)
+    short = council.ask(AskRenew(asked, "x", 1, same))
+    assert isinstance(short, Renewed) and short.same and not short.numbers
     assert len(one.held) == 50 and council.voters[council.leader()].raft.last == before
     assert all(one.may(f"t{at}", council.now) for at in range(50))
 
@@ -286,11 +289,11 @@
     @rule(name=st.sampled_from("xyz"), late=st.booleans())
     def renew(self, name: str, late: bool) -> None:
         holding = self.holdings[name]
-        asked = holding.ask(self.at(name))
-        answer = self.put(AskRenew(asked, name, holding.birth))
+        asked, same = holding.renew(self.at(name))
+        answer = self.put(AskRenew(asked, name, holding.birth, same))
         self.council.pass_ms(1500.0 * late)
         if isinstance(answer, Renewed):
-            holding.renewed(asked, answer.numbers, self.at(name))
+            holding.renewed(asked, answer.numbers, self.at(name), answer.same)
 
     @rule(name=st.sampled_from("xyz"), task=st.sampled_from("tu"))
     def give(self, name: str, task: str) -> None:
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -246,7 +246,7 @@
 DAY = """
 import sys
 from pathlib import Path
-from cherrygrade.lab.virtual import play
+from cherrygrade.lab.virtual.virtual import play
 play(Path("scenarios/selfcheck.rec"), Path(sys.argv[1]), sys.argv[2])
 """
 
