Fleet: one that starts anew while its contacts are dead is let in by who probes it

Seen: test_a_majority_that_is_gone failed now and then. Two of five killed, both contact points; one of them started again stayed alone for good, while the three others had its new life on their rolls (fleet status of each, ten seconds long). A probe by somebody unknown was left to that one (Core._compare), which knew this life already, took it for no stranger, and saw equal digests of the others in between, so no exchange of theirs came about either. Who goes on asking for 500 ms and is still unknown is asked for its roll now.

--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -25,6 +25,7 @@
 HELP_MS = 1000.0  # what is probed for others is forgotten after this
 MOST_HELP = 256
 MOST_BACK = 16
+STRANGE_MS = 500.0  # in which a stranger that asks has begun to exchange rolls, if it does
 SET_WRONG_MS = 86_400_000.0  # that a clock may go ahead of this one's; who is born later yet is made up
 WORDS_A_S = 400  # of one member's words; the rest is dropped
 
@@ -91,6 +92,7 @@
         self.helps: dict[int, Help] = {}
         self.talk: dict[str, tuple[float, int]] = {}
         self.back: dict[str, str] = {}
+        self.strangers: dict[str, float] = {}  # who asked and is not known, since when; at most MOST_BACK
         self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
         self._seen_comings = -1
         self._contact_at = now
@@ -315,6 +317,12 @@
         equal = page.digest == self.roll.digest
         # Who is asked by a stranger leaves it to that one; else the name that sorts first begins.
         begins = isinstance(page, Answer) if stranger else self.name < page.name
+        if not stranger:
+            self.strangers.pop(page.name, None)
+        elif not begins:  # unless it goes on asking: then it knows this one, and nobody would begin
+            begins = now > self.strangers.setdefault(page.name, now) + STRANGE_MS
+            if len(self.strangers) > MOST_BACK:
+                del self.strangers[next(iter(self.strangers))]
         if stranger and begins and now >= self.exchanges.next_at:
             self.exchanges.next_at = now + 200.0
             mail.exchange.append((page.name, place))
--- a/tests/test_fleet_roll.py
+++ b/tests/test_fleet_roll.py
@@ -8,6 +8,7 @@
 from cherrygrade.fleet.members import keepers, seats
 from cherrygrade.fleet.members.core import Core
 from cherrygrade.fleet.members.keepers import Keepers
+from cherrygrade.fleet.members.pages import Probe
 from cherrygrade.fleet.members.probing import Does, Probing
 from cherrygrade.fleet.members.roll import Claim, Facts, Roll, Standing, join
 from cherrygrade.fleet.members.sides import TABLE, Side, side
@@ -187,3 +188,18 @@
         alive = Claim("b", 1, turn + 1, Standing.ALIVE, Facts("10.0.0.2:1"))
         assert roll.hear(alive, now, "b")
         probing.heard(alive, now)
+
+
+def test_one_that_starts_anew_while_its_contacts_are_dead_is_let_in_by_who_probes_it():
+    # Others knew its new life by then, so they took it for no stranger; it left the exchange to those that
+    # asked, and stayed alone for good.
+    facts = [Facts(f"10.0.0.{at}:1", seat=at) for at in (0, 1)]
+    other = Core("b", 1001, facts[1], 5, [], 1, 0.0)
+    alone, began = Core("a", 2000, facts[0], 5, ["10.0.0.9:1"], 1, 0.0), False
+    other.exchanged([alone.roll.own.claim()], "a", 0.0)
+    for turn in range(8):
+        now = 100.0 + 400.0 * turn
+        probe = Probe(other.name, other.birth, turn, other.roll.digest, [])
+        mail = alone.hear(probe, "10.0.0.1:1", now)
+        began = began or any(name == "b" for name, _ in mail.exchange)
+    assert began
