--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import select
 from collections.abc import Callable
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
@@ -244,6 +245,18 @@
         if self._work_timer is None:
             self._work()
 
+    def _unread(self) -> bool:
+        """Whether pages wait, here or with the system. Guards against accusing somebody whose answer came
+        while this process did not run: the event loop reads one datagram a turn, and timers ring between."""
+        if any(self.ration.waiting):
+            return True
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is None:
+            return False
+        look = select.poll()
+        look.register(sock.fileno(), select.POLLIN)
+        return bool(look.poll(0))
+
     def _work(self) -> None:
         """One page a turn of the event loop, so that RPCs go between them."""
         self._work_timer, now = None, self.clock()
@@ -260,6 +273,7 @@
 
     def _beat(self) -> None:
         self._timer, self.core.short = None, self.ration.short
+        self.core.unread = self._unread()
         self._post(self.core.beat(self.clock() + GRAIN_S * 1000.0))
 
     def _post(self, mail: Mail, source: tuple[str, int] | None = None, length: int = MOST_PAGE) -> None:
--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -88,6 +88,7 @@
         self.yielded_to = ""
         self.side = Side.MOST if record <= 1 else Side.ALONE
         self.refuted = self.overheard = 0
+        self.unread = False  # pages lie there that were not looked at
         self.short = False  # more comes than may be taken up: it says the least that keeps it known
         self.helps: dict[int, Help] = {}
         self.talk: dict[str, tuple[float, int]] = {}
@@ -210,7 +211,7 @@
         mail = Mail()
         if self.silent:
             return mail
-        self.probing.short = self.short
+        self.probing.short, self.probing.unread = self.short, self.unread
         does = self.probing.beat(now)
         for name in does.news:
             self.news.add(name, now)
--- a/cherrygrade/fleet/members/probing.py
+++ b/cherrygrade/fleet/members/probing.py
@@ -39,6 +39,7 @@
 CONFIRM = 2  # others that shorten it all the way
 MOST_DOUBT = 8
 LATE_MS = 300.0  # a beat so much too late: this process stood still
+UNREAD_MS, READ_MS = 2000.0, 20.0  # how long what is unread puts judgement off at most; looked at again
 FEW = 8  # suspects, up to which others are asked before one is buried
 MANY, HURRY = 3, 5  # with so many suspects at once, so many are probed in a period: many may have died
 KNOCK_MS = 2000.0  # one of the dead is tried this often: it may only have been cut off
@@ -76,6 +77,7 @@
         self.roll, self.seed, self.period_ms = roll, seed, period_ms
         self.doubt = 0
         self.accuses = True  # not while it is late with everything: sides.TABLE
+        self.unread = False  # pages lie there that were not looked at: the answer may be among them
         self.short = False  # more is to be done than may be: it probes, and leaves helpers and hurry
         self._longest, self._longest_at = 0.0, now
         self.late: dict[int, tuple[str, float]] = {}  # probes of past periods; MOST_LATE, the oldest go
@@ -112,6 +114,8 @@
 
     def due(self) -> float:
         """When the next beat is wanted."""
+        if self.unread:
+            return self.wanted
         at = min([self.next_at, self.knock_at, *self.suspects.values()])
         waited = [out.at + out.patience for out in self.outs if not out.asked]
         return min(at, waited[0]) if waited else at
@@ -199,6 +203,9 @@
         for out in self.outs:
             if not out.asked and now >= out.at + out.patience:
                 self._ask(out, does)
+        if self.unread and now < self.next_at + UNREAD_MS:
+            self.wanted = now + READ_MS
+            return does
         if now >= self.next_at:
             self._end_period(now, does)
             self._begin_period(now, does)
--- a/cherrygrade/lab/audits/audit.py
+++ b/cherrygrade/lab/audits/audit.py
@@ -41,6 +41,8 @@
     15: "nobody is accused unprobed",
     16: "words go to the living",
     17: "at rest members say little",
+    18: "no two act for one task",
+    19: "tasks are done where the most can speak",
 }
 
 
--- a/cherrygrade/lab/audits/fleetaudit.py
+++ b/cherrygrade/lab/audits/fleetaudit.py
@@ -18,6 +18,8 @@
 from cherrygrade.fleet.members.pages import Ask, Book
 from cherrygrade.fleet.members.roll import Claim, Facts, Member, Standing
 from cherrygrade.lab.audits.audit import Verdict, lines
+from cherrygrade.standin.receiver import carried_out
+from cherrygrade.standin.receiver import judge as one_holder
 from cherrygrade.standin.ways import ENTRY, FLEET
 
 KNOWN_MS = 5000.0  # from a death to all that live knowing it
@@ -211,7 +213,32 @@
         verdict = Verdict(number)
         rule(story, truth, verdict)
         verdicts.append(verdict)
-    return verdicts
+    record = folder / "receiver.jsonl"
+    return [*verdicts, _alone(record), _done(story, record)] if record.exists() else verdicts
+
+
+def _alone(record: Path) -> Verdict:
+    """By the receiver's record alone."""
+    verdict = Verdict(18)
+    verdict.judged = len(carried_out(record))
+    for wrong in one_holder(record):
+        verdict.convict(wrong)
+    return verdict
+
+
+def _done(story: Story, record: Path) -> Verdict:
+    """In the last seconds of a day that nothing changed any more in, each task that was ever done is."""
+    verdict, tasks, late = Verdict(19), set[str](), set[str]()
+    if any(at > story.end - 2.0 * QUIET_MS for at in story.changes):
+        return verdict
+    for at, task, *_ in carried_out(record):
+        tasks.add(task)
+        if at > story.end - QUIET_MS:
+            late.add(task)
+    verdict.judged = len(tasks)
+    for task in sorted(tasks - late):
+        verdict.convict(f"{task} was not done in the last {QUIET_MS / 1000.0:.0f} s")
+    return verdict
 
 
 def _known(story: Story, truth: Truth, verdict: Verdict) -> None:
--- a/cherrygrade/lab/rig/scenario.py
+++ b/cherrygrade/lab/rig/scenario.py
@@ -54,6 +54,16 @@
         return self.at_ms <= at < self.at_ms + self.for_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Sitting:
+    """The first `voters` dispatchers are the council; so many drills, ordered at one receiver."""
+
+    voters: int
+    tasks: int
+    lease_ms: float
+    numbered: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     name: str
@@ -73,6 +83,7 @@
     fleet: bool = False
     ways: bool = False
     drawn: int = 0
+    council: Sitting | None = None
 
 
 def read_scenario(path: Path, extra: str = "") -> Scenario:
--- a/tests/test_fleet_ration.py
+++ b/tests/test_fleet_ration.py
@@ -131,3 +131,20 @@
         one.heard_at = now  # others speak
         asked += len(one.beat(now).ask)
     assert asked == 0 and one.deaths == 0
+
+
+def test_nobody_is_accused_or_buried_while_pages_lie_unread():
+    # On three cores one of two hundred was buried while its own word lay in the socket of who buried it.
+    one = probing()
+    claim = Claim("m1", 1000, 0, Standing.SUSPECT, by="m2")
+    one.roll.hear(claim, 0.0, "m2")
+    one.heard(claim, 0.0)
+    run(one, 1000.0, None)
+    one.unread, before = True, one.accusations
+    for now in range(1000, 2400, 20):
+        one.next_at = min(one.next_at, now)
+        one.beat(float(now))
+    assert one.accusations == before and one.deaths == 0
+    one.unread = False
+    run(one, 12_000.0, None, 2400.0)
+    assert one.deaths
