Fleet: two last calls before a burial; more words of the dead on a datagram

Seen on three cores: two of 200 living called dead; the last call of each who buried them was one of the 5% of datagrams lost, the suspect's own word was out for 3 and 4 s (ways' record). Two last calls of 200 ms now, in place of one of 300.

--- a/cherrygrade/fleet/members/probing.py
+++ b/cherrygrade/fleet/members/probing.py
@@ -35,7 +35,7 @@
 STALL_MS = 2000.0  # a member that stands still for so long is not to be called dead
 LEAST_MS, LONGEST_MS = 1900.0, 3600.0  # from suspicion to death: with and without others that confirm it
 SPREAD_MS = 600.0
-LAST_MS = 300.0  # after that: for the answer to a last call
+LAST_MS, CALLS = 200.0, 2  # after that: for the answer to each last call; one datagram alone may be lost
 CONFIRM = 2  # others that shorten it all the way
 MOST_DOUBT = 8
 LATE_MS = 300.0  # a beat so much too late: this process stood still
@@ -84,7 +84,7 @@
         self.begun = now
         self.order: list[str] = []
         self.outs: list[Out] = []  # of this period
-        self.called: set[str] = set()  # suspects whose last call is out; emptied by its end
+        self.called: dict[str, int] = {}  # suspects whose last calls are out; emptied by their ends
         self.mine: set[str] = set()  # accused here; emptied as they die or are lifted
         self.lost: list[str] = []  # of the last one: they are probed again before anybody hears of it
         self.suspects: dict[str, float] = {}
@@ -165,7 +165,7 @@
             return False
         if member.standing is not Standing.SUSPECT:
             self.suspects.pop(member.name, None)
-            self.called.discard(member.name)  # the next suspicion has a last call of its own
+            self.called.pop(member.name, None)  # the next suspicion has last calls of its own
             if member.name in self.mine:
                 self.mine.discard(member.name)
                 if member.living:  # accused too hastily, or the ways are slow for all
@@ -326,10 +326,11 @@
         """Nobody is buried who was not asked once more, straight and through others: its word may have come
         to all but this member. Whether that is out now."""
         member = self.roll.members.get(name)
-        if name in self.called or member is None or member.standing is not Standing.SUSPECT:
-            self.called.discard(name)
+        calls = self.called.get(name, 0)
+        if calls >= CALLS or member is None or member.standing is not Standing.SUSPECT:
+            self.called.pop(name, None)
             return False
-        self.called.add(name)
+        self.called[name] = calls + 1
         self.suspects[name] = now + max(LAST_MS, 2.0 * self.slow(now))
         out = Out(name, member.birth, self._number(), now, self.direct(now))
         does.probe.append((member, out.number))
--- a/cherrygrade/fleet/members/telling.py
+++ b/cherrygrade/fleet/members/telling.py
@@ -16,7 +16,7 @@
 from math import ceil, log2
 from zlib import crc32
 
-from cherrygrade.fleet.members.roll import Claim, Roll
+from cherrygrade.fleet.members.roll import Claim, Roll, Standing
 
 TELL_FACTOR = 1.0  # an item is told so many times the logarithm of the fleet's size, then no more
 LEAST_TOLD = 2
@@ -25,11 +25,18 @@
 AGAIN_MS = 400.0  # between two pushes of one member: guards against a storm when much is news at once
 BRIEF_MS = 100.0  # while it is little: who is wrongly suspected has no time to lose
 NEVER = 1e15
-MOST_ITEMS = 16  # of news on one datagram
+MOST_ITEMS = 16  # of news on one datagram that tell all of a member
+MOST_SHORT = 40  # on one of fresh news, as far as they are words of suspicion and death, which tell less
+FULL, SHORT = 2.5, 1.0  # what the two take of a datagram's MOST_SHORT
 DIFFER_MS = 1000.0  # digests have to differ for so long: news under way explains less than that
 EXCHANGE_MS = 1000.0  # between two exchanges that this member begins
 
 
+def _tells_all(roll: Roll, name: str) -> bool:
+    member = roll.members.get(name)
+    return member is not None and member.standing is Standing.ALIVE
+
+
 class News:
     """`items`: names of whom there is news, and how many times it was told. Emptied by telling, and by new
     news."""
@@ -76,8 +83,8 @@
                 if self.items[name] >= limit or name not in roll.members:
                     del self.items[name], self._places[name]
             if name in roll.members:
-                member = roll.members[name]
-                claims.append(member.claim(member.living))  # nobody needs the place of the dead
+                # Nobody needs the place of the dead, nor again that of a suspect.
+                claims.append(roll.members[name].claim(_tells_all(roll, name)))
         return claims
 
     def push(self, roll: Roll, now: float) -> list[Claim]:
@@ -85,7 +92,12 @@
         if now < self.push_at:
             return []
         self.fresh &= self.items.keys()
-        load = nsmallest(MOST_ITEMS, self.fresh, key=self._order)
+        load, room = list[str](), float(MOST_SHORT)
+        for name in nsmallest(MOST_SHORT, self.fresh, key=self._order):
+            room -= FULL if _tells_all(roll, name) else SHORT
+            if room < 0.0:
+                break
+            load.append(name)
         self.fresh -= {*load}
         self._pushed_at = now
         self.push_at = now + AGAIN_MS if self.fresh else NEVER
--- a/cherrygrade/lab/exploration/members.py
+++ b/cherrygrade/lab/exploration/members.py
@@ -14,7 +14,7 @@
 
 from cherrygrade.fleet.members.core import Core
 from cherrygrade.fleet.members.pages import Probe
-from cherrygrade.fleet.members.probing import Does
+from cherrygrade.fleet.members.probing import CALLS, Does
 from cherrygrade.fleet.members.roll import Claim, Facts, Member, Standing
 from cherrygrade.lab.exploration.explore import Breach, Told
 
@@ -133,8 +133,8 @@
 def bury(core: Core, name: str) -> None:
     """A suspicion ran out."""
     core.probing.suspects[name] = 0.0
-    core.probing._bury(LATE, Does())  # the last call
-    core.probing._bury(2.0 * LATE, Does())
+    for call in range(1, CALLS + 2):  # the last calls, and what comes of them
+        core.probing._bury(call * LATE, Does())
 
 
 class Members:
--- a/tests/test_fleet_roll.py
+++ b/tests/test_fleet_roll.py
@@ -9,7 +9,7 @@
 from cherrygrade.fleet.members.core import Core
 from cherrygrade.fleet.members.keepers import Keepers
 from cherrygrade.fleet.members.pages import Probe
-from cherrygrade.fleet.members.probing import Does, Probing
+from cherrygrade.fleet.members.probing import CALLS, Does, Probing
 from cherrygrade.fleet.members.roll import Claim, Facts, Roll, Standing, join
 from cherrygrade.fleet.members.sides import TABLE, Side, side
 
@@ -183,8 +183,9 @@
         assert roll.hear(suspect, now, "c")
         probing.heard(suspect, now)
         does = Does()
-        probing._bury(now + 50_000.0, does)
-        assert [member.name for member, _ in does.probe] == ["b"] and not probing.deaths
+        for call in range(CALLS):
+            probing._bury(now + 50_000.0 + 10_000.0 * call, does)
+        assert [member.name for member, _ in does.probe] == ["b"] * CALLS and not probing.deaths
         alive = Claim("b", 1, turn + 1, Standing.ALIVE, Facts("10.0.0.2:1"))
         assert roll.hear(alive, now, "b")
         probing.heard(alive, now)
