--- a/cherrygrade/fleet/members/probing.py
+++ b/cherrygrade/fleet/members/probing.py
@@ -36,6 +36,7 @@
 LEAST_MS, LONGEST_MS = 1900.0, 3600.0  # from suspicion to death: with and without others that confirm it
 SPREAD_MS = 600.0
 LAST_MS, CALLS = 200.0, 2  # after that: for the answer to each last call; one datagram alone may be lost
+LAST_OF_MANY_MS = 350.0  # where many are suspect: it may be the machine, and all are late
 CONFIRM = 2  # others that shorten it all the way
 MOST_DOUBT = 8
 LATE_MS = 300.0  # a beat so much too late: this process stood still
@@ -331,7 +332,8 @@
             self.called.pop(name, None)
             return False
         self.called[name] = calls + 1
-        self.suspects[name] = now + max(LAST_MS, 2.0 * self.slow(now))
+        least = LAST_MS if len(self.suspects) < MANY else LAST_OF_MANY_MS
+        self.suspects[name] = now + max(least, 2.0 * self.slow(now))
         out = Out(name, member.birth, self._number(), now, self.direct(now))
         does.probe.append((member, out.number))
         if len(self.suspects) <= FEW:
--- a/cherrygrade/lab/audits/audit.py
+++ b/cherrygrade/lab/audits/audit.py
@@ -136,7 +136,7 @@
                 halted[facts[0]] = at
             elif event == "continued":
                 self.halts[facts[0]].append((halted.pop(facts[0]), at))
-            elif event == "killed":
+            elif event in ("killed", "gone"):  # on a starved machine a process takes its time to die
                 self.deaths[facts[0]].append(at)
             elif event == "shut":
                 for number in facts[0]:
--- a/cherrygrade/lab/rig/run.py
+++ b/cherrygrade/lab/rig/run.py
@@ -460,6 +460,7 @@
         if trouble.kind in ("kill", "end"):
             self.note.note("killed", number, self.lives[number])
             code = await child.end(signal.SIGKILL)
+            self.note.note("gone", number, self.lives[number])
         else:
             self.note.note("told to leave", number, self.lives[number])
             code = await child.end(signal.SIGTERM)
