Leases: what lapsed at its holder goes back, though its life renews others; nobody did it any more

Seen in script/test: test_a_leader_that_is_killed, t8 and t6 done by nobody for 9 s. d4's log: lease over for both, 1.5 s after the leader's death; it held t0, granted later, and renewed it; the new leader's count goes by life (Count.answered), so it renewed t8 and t6 with it for good. A grant whose answer is lost had the same end. A renewal's answer that names what is not held here voids open asks for it and gives it back (Holding.strays).

--- a/cherrygrade/fleet/carriers/tasks.py
+++ b/cherrygrade/fleet/carriers/tasks.py
@@ -106,6 +106,10 @@
         if isinstance(answer, Renewed):
             for task in self.holding.renewed(asked, answer.numbers, self.clock(), answer.same):
                 self._log("lease lost", task=task)
+            strays, self.holding.strays = self.holding.strays, {}
+            for task, number in strays.items():
+                self._log("lease given back", task=task, number=number, why="not held here")
+                await self._back(task, number)
 
     async def _look(self, some: list[str]) -> None:
         try:
@@ -117,7 +121,7 @@
             return
 
     async def _take(self, task: str) -> None:
-        asked = self.holding.ask(self.clock())
+        asked = self.holding.ask(self.clock(), task)
         ask = AskTake(asked, task, self.holding.name, self.holding.birth, self.council.lease_ms)
         answer = await self.chamber.ask(ask, WITHIN_S)
         if isinstance(answer, Took) and self.holding.granted(asked, task, answer.told.number, self.clock()):
@@ -127,13 +131,16 @@
         """Back to the council; False where an order is still out, or it is not held."""
         number = self.holding.give(task)
         if number:
-            ask = AskGive(self.holding.ask(self.clock()), task, number, failed)
-            try:
-                await self.chamber.ask(ask, WITHIN_S)
-            except Unreached:
-                pass  # it ends by its time
+            await self._back(task, number, failed)
         return bool(number)
 
+    async def _back(self, task: str, number: int, failed: str = "") -> None:
+        ask = AskGive(self.holding.ask(self.clock()), task, number, failed)
+        try:
+            await self.chamber.ask(ask, WITHIN_S)
+        except Unreached:
+            pass  # it ends by its time, or is found again
+
 
 class Drill:
     """Orders of all drills that are held, on one connection."""
--- a/cherrygrade/fleet/leases/holding.py
+++ b/cherrygrade/fleet/leases/holding.py
@@ -32,33 +32,43 @@
 
 class Holding:
     """One life's. `held` is emptied by ends, by answers that lack a lease, by giving back; `asked` by answers
-    and by MOST_OPEN."""
+    and by MOST_OPEN. `strays`: what the council has for this life and this life does not hold, to be given
+    back; else it would be renewed with the others and done by nobody."""
 
     def __init__(self, name: str, birth: int, for_ms: float, drift: float) -> None:
         self.name, self.birth, self.for_ms, self.drift = name, birth, for_ms, drift
         self.held: dict[str, Held] = {}
         self.asked: dict[str, float] = {}
+        self.strays: dict[str, int] = {}
+        self._takes: dict[str, str] = {}  # the task of an ask for one; goes with it
         self.lost = 0
         self._count = 0
         self._renewing: tuple[str, dict[str, int]] = ("", {})
         self._renew_at = NEVER
 
-    def ask(self, now: float) -> str:
-        """An ask leaves now; gives its id."""
+    def ask(self, now: float, task: str = "") -> str:
+        """An ask leaves now, for this task if it takes one; gives its id."""
         self._count += 1
         asked = f"{self.name}/{self.birth}/{self._count}"
         self.asked[asked] = now
+        if task:
+            self._takes[asked] = task
         while len(self.asked) > MOST_OPEN:
-            del self.asked[next(iter(self.asked))]
+            self._let_go(next(iter(self.asked)))
         return asked
 
+    def _let_go(self, asked: str) -> float | None:
+        """No answer to it gives anything any more; when it was asked."""
+        self._takes.pop(asked, None)
+        return self.asked.pop(asked, None)
+
     def _runs(self, asked: float) -> float:
         return asked + self.for_ms * (1.0 - self.drift) - MARGIN_MS
 
     def granted(self, asked: str, task: str, number: int, now: float) -> bool:
         """Whether it is held now: an answer that came late, again, or to no ask of this life gives nothing.
         An ask that is put again under its id counts from its first time."""
-        at = self.asked.pop(asked, None)  # heard twice it would bring back what was given back meanwhile
+        at = self._let_go(asked)  # heard twice it would bring back what was given back meanwhile
         if at is None or not number or self._runs(at) <= now:
             return False
         known = self.held.get(task)
@@ -77,7 +87,7 @@
     def renewed(self, asked: str, numbers: dict[str, int], now: float, same: bool = False) -> list[str]:
         """The leader's answer to a renewal; gives the tasks that are lost by it. `same`: it renews all that
         was held as the ask left."""
-        at = self.asked.pop(asked, None)
+        at = self._let_go(asked)
         if at is None:
             return []
         if same:
@@ -91,6 +101,12 @@
             elif held.ends <= self._runs(at):  # granted before this ask, and the leader knows it no more
                 del self.held[task]
                 lost.append(task)
+        for task, number in numbers.items():
+            if task not in self.held and not same:
+                # Its time was over here, or the grant's answer is lost or on its way: that one is void now.
+                for one in [one for one, of in self._takes.items() if of == task]:
+                    self._let_go(one)
+                self.strays[task] = number
         self.lost += len(lost)
         self._renew_at = at + self.for_ms / PART if self.held else NEVER
         return lost
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -84,7 +84,7 @@
         return self.answers[0] if self.answers else None
 
     def take(self, holding: Holding, task: str) -> bool:
-        asked = holding.ask(self.now)
+        asked = holding.ask(self.now, task)
         answer = self.ask(AskTake(asked, task, holding.name, holding.birth, TTL))
         assert isinstance(answer, Took)
         return holding.granted(asked, task, answer.told.number, self.now)
@@ -180,6 +180,27 @@
     assert council.take(two, "t")
 
 
+def test_what_lapsed_or_was_never_heard_of_goes_back_though_its_life_renews_others():
+    # A leader died; two of three leases of a life were over before the next one led, the third was renewed,
+    # and with it, at the leader, the two that nobody did any more.
+    council, one, two = Council(), Holding("x", 1, TTL, DRIFT), Holding("y", 1, TTL, DRIFT)
+    assert council.take(one, "lapsed")
+    late = one.ask(council.now, "unheard")
+    unheard = council.ask(AskTake(late, "unheard", "x", 1, TTL))
+    council.pass_ms(2900.0)
+    assert council.take(one, "kept")
+    council.pass_ms(60.0)
+    one.beat(council.now)
+    assert [*one.held] == ["kept"]
+    council.renew(one)
+    assert {*one.strays} == {"lapsed", "unheard"}
+    assert isinstance(unheard, Took)
+    assert not one.granted(late, "unheard", unheard.told.number, council.now)  # it comes after all: too late
+    for task, number in one.strays.items():
+        council.ask(AskGive(one.ask(council.now), task, number))
+        assert council.take(two, task)
+
+
 def test_a_task_that_fails_again_and_again_rests_longer_and_is_shown():
     grants = Grants()
     rests, at = [], 0.0
@@ -280,7 +301,7 @@
     @rule(name=st.sampled_from("xyz"), task=st.sampled_from("tu"), lost=st.booleans(), late=st.booleans())
     def take(self, name: str, task: str, lost: bool, late: bool) -> None:
         holding = self.holdings[name]
-        asked = holding.ask(self.at(name))
+        asked = holding.ask(self.at(name), task)
         answer = self.put(AskTake(asked, task, name, holding.birth, TTL))
         self.council.pass_ms(1500.0 * late)
         if isinstance(answer, Took) and not lost:
@@ -294,6 +315,9 @@
         self.council.pass_ms(1500.0 * late)
         if isinstance(answer, Renewed):
             holding.renewed(asked, answer.numbers, self.at(name), answer.same)
+        strays, holding.strays = holding.strays, {}
+        for task, number in strays.items():
+            self.put(AskGive(holding.ask(self.at(name)), task, number))
 
     @rule(name=st.sampled_from("xyz"), task=st.sampled_from("tu"))
     def give(self, name: str, task: str) -> None:
