--- a/benchmarks/fleet_leases.py
+++ b/benchmarks/fleet_leases.py
@@ -21,6 +21,7 @@
 
 from cherrygrade.fleet.carriers.ask import ask
 from cherrygrade.fleet.carriers.disk import found
+from cherrygrade.fleet.leases.wanting import LATELY_MS
 from cherrygrade.standin.receiver import judge
 
 LEASE_MS = 2000.0
@@ -128,7 +129,7 @@
         for number in range(count):
             fleet.start(number)
         await fleet.all_held(30.0 + tasks / 50.0 + count / 4.0)
-        await asyncio.sleep(LEASE_MS / 1000.0)
+        await asyncio.sleep((LATELY_MS + 2000.0) / 1000.0)  # till the start is no news any more
         numbers = [*range(count)]
         before, cpu, at = await fleet.told(numbers), fleet.cpu_s(), time.monotonic()
         await asyncio.sleep(seconds)
--- a/cherrygrade/fleet/carriers/tasks.py
+++ b/cherrygrade/fleet/carriers/tasks.py
@@ -115,7 +115,7 @@
         try:
             answer = await self.chamber.ask(AskFree(self.holding.ask(self.clock()), some), WITHIN_S)
             if isinstance(answer, Freed):
-                for task in self.wanting.told(some, answer.tasks, self._living()):
+                for task in self.wanting.told(some, answer.tasks, self._living(), self.clock()):
                     await self._take(task)
         except Unreached:
             return
--- a/cherrygrade/fleet/leases/wanting.py
+++ b/cherrygrade/fleet/leases/wanting.py
@@ -13,7 +13,9 @@
 
 from cherrygrade.fleet.leases.holding import turn
 
-POLL_MS = 500.0
+POLL_MS = 400.0  # while somebody came or went of late, or something is free
+REST_MS, LATELY_MS = 4000.0, 15_000.0  # else: what ends otherwise is found by that; how long "of late" is
+SOON_MS = 150.0  # after something was free: whoever is next looks again
 MOST_NAMES = 64  # in one ask
 FIRST = 3  # of the living by rendezvous that ask for a task at all
 NEVER = 1e15
@@ -31,6 +33,7 @@
         self._next: list[str] = []
         self._ranks: dict[str, int] = {}  # of these living
         self._living: list[str] = []
+        self._changed_at = now
 
     def want(self, task: str) -> None:
         self.tasks[task] = None
@@ -40,19 +43,21 @@
         self.seen_free.pop(task, None)
 
     def rank(self, task: str, living: list[str]) -> int:
-        if living != self._living:
-            self._living, self._ranks = [*living], {}
         if task not in self._ranks:
             self._ranks[task] = turn(task, living, self.me)
         return self._ranks[task]
 
     def poll(self, now: float, living: list[str], held: set[str]) -> list[str]:
         """Tasks to ask about now, each in its turn; empty where it is not time."""
+        if living != self._living:
+            self._living, self._ranks, self._changed_at = [*living], {}, now
+            self.ask_at = min(self.ask_at, now + POLL_MS)
         if now < self.ask_at:
             return []
         self._count += 1
         chance = crc32(f"{self.seed}:{self._count}".encode()) / 2.0**32
-        self.ask_at = now + POLL_MS * (0.75 + 0.5 * chance)
+        pause = POLL_MS if self.seen_free or now < self._changed_at + LATELY_MS else REST_MS
+        self.ask_at = now + pause * (0.75 + 0.5 * chance)
         if not self._next:
             self._next = [task for task in self.tasks if task not in held]
         some: list[str] = []
@@ -62,7 +67,7 @@
                 some.append(task)
         return some
 
-    def told(self, asked: list[str], free: list[str], living: list[str]) -> list[str]:
+    def told(self, asked: list[str], free: list[str], living: list[str], now: float) -> list[str]:
         """Of those asked about these are free; gives the ones to take now."""
         take, found = [], {*free}
         for task in asked:
@@ -70,6 +75,9 @@
                 self.seen_free.pop(task, None)
                 continue
             times = self.seen_free[task] = self.seen_free.get(task, 0) + 1
-            if times > 2 * self.rank(task, living):
+            if times > self.rank(task, living):
                 take.append(task)
+        if len(take) < len(found):
+            self.ask_at = min(self.ask_at, now + SOON_MS)
+            self._next += [task for task in asked if task in found and task not in take]
         return take
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -21,6 +21,7 @@
 )
 from cherrygrade.fleet.leases.grants import Give, Grants, Take
 from cherrygrade.fleet.leases.holding import MARGIN_MS, Holding, turn
+from cherrygrade.fleet.leases.wanting import Wanting
 
 NAMES = ["a", "b", "c"]
 TTL, DRIFT = 3000.0, 0.005
@@ -352,3 +353,21 @@
 
 TestDays = Days.TestCase
 TestDays.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+
+
+def test_asking_rests_while_nothing_changes_and_is_quick_once_somebody_died():
+    wanting, living, now = Wanting("a", 1, 0.0), ["a", "b", "c"], 0.0
+    for at in range(40):
+        wanting.want(f"t{at}")
+    asked = {"early": 0, "rest": 0, "late": 0}
+    while now < 100_000.0:
+        now += 50.0
+        part = "early" if now < 15_000.0 else "rest" if now < 80_000.0 else "late"
+        some = wanting.poll(now, living if now < 80_000.0 else ["a", "b"], set())
+        asked[part] += bool(some)
+        wanting.told(some, [], living, now)
+    assert asked["rest"] <= 65_000 / 3000 and asked["late"] >= 30 and asked["early"] >= 30
+    first = next(task for task in wanting.tasks if wanting.rank(task, ["a", "b"]) == 0)
+    second = next(task for task in wanting.tasks if wanting.rank(task, ["a", "b"]) == 1)
+    assert wanting.told([first, second], [first, second], ["a", "b"], now) == [first]
+    assert wanting.told([second], [second], ["a", "b"], now) == [second]  # whoever was first did not take it
