--- a/cherrygrade/fleet/leases/wanting.py
+++ b/cherrygrade/fleet/leases/wanting.py
@@ -54,6 +54,8 @@
             self.ask_at = min(self.ask_at, now + POLL_MS)
         if now < self.ask_at:
             return []
+        # What is held here is not asked about any more: it would count as free for good.
+        self.seen_free = {task: times for task, times in self.seen_free.items() if task not in held}
         self._count += 1
         chance = crc32(f"{self.seed}:{self._count}".encode()) / 2.0**32
         pause = POLL_MS if self.seen_free or now < self._changed_at + LATELY_MS else REST_MS
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -371,3 +371,5 @@
     second = next(task for task in wanting.tasks if wanting.rank(task, ["a", "b"]) == 1)
     assert wanting.told([first, second], [first, second], ["a", "b"], now) == [first]
     assert wanting.told([second], [second], ["a", "b"], now) == [second]  # whoever was first did not take it
+    wanting.poll(now + 10_000.0, ["a", "b"], {first, second})
+    assert not wanting.seen_free  # else it would ask quickly for good
