--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -172,7 +172,7 @@
                 await asyncio.sleep(0.1)
             if "suspect" in seen:
                 break
-        company.running = others | {1: process}  # before anything may end the story: it is ended with the others
+        company.running = others | {1: process}  # before the story may end: it is ended with the others
         assert "suspect" in seen and "failed" not in seen
         await company.until(company.equal, 4.0)
 
