Reread: a page's letter is read at one place

Party cut the kind's letter out of a datagram in two places, by the head's layout; pages.py knows it.

--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -17,7 +17,7 @@
 
 from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.members.core import Core, Mail
-from cherrygrade.fleet.members.pages import HEAD, MOST_PAGE, Any_, Book, Probe
+from cherrygrade.fleet.members.pages import MOST_PAGE, Any_, Book, Probe, letter
 from cherrygrade.fleet.members.ration import Ration
 from cherrygrade.fleet.members.roll import Claim, Facts
 from cherrygrade.fleet.members.sides import TABLE, Side
@@ -96,9 +96,8 @@
             await self._sit(self.fleet.council, host)
 
     async def _sit(self, council: Council, host: str) -> None:
-        from cherrygrade.fleet.carriers.chamber import (
-            Chamber,  # where no council is named, none of it is loaded
-        )
+        # Where no council is named, none of it is loaded.
+        from cherrygrade.fleet.carriers.chamber import Chamber
         from cherrygrade.fleet.carriers.tasks import Tasks
 
         core = self.core
@@ -240,8 +239,7 @@
 
     def came(self, data: bytes, source: tuple[str, int]) -> None:
         self.got, self.got_bytes = self.got + 1, self.got_bytes + len(data)
-        kind = data[HEAD.size + 2 : HEAD.size + 3]  # behind the array's head and the letter's own
-        self.ration.came(kind, len(data), (data, source), self.clock())
+        self.ration.came(letter(data), len(data), (data, source), self.clock())
         if self._work_timer is None:
             self._work()
 
@@ -302,7 +300,7 @@
             self.unsent += 1
             return
         self._transport.sendto(data, to)
-        self.ration.spent(data[HEAD.size + 2 : HEAD.size + 3], len(data), self.clock())
+        self.ration.spent(letter(data), len(data), self.clock())
         self.sent, self.sent_bytes = self.sent + 1, self.sent_bytes + len(data)
 
     def _exchange(self, name: str, place: str) -> None:
--- a/cherrygrade/fleet/members/pages.py
+++ b/cherrygrade/fleet/members/pages.py
@@ -86,6 +86,11 @@
 _decoder = msgspec.msgpack.Decoder(Any_)
 
 
+def letter(data: bytes) -> bytes:
+    """Of a datagram's kind, unchecked: it stands behind the array's head and its own."""
+    return data[HEAD.size + 2 : HEAD.size + 3]
+
+
 class Book:
     """Writes and reads one fleet's datagrams. `wrong` counts what was dropped, by why: a handful of kinds."""
 
