Clients that leave, closes, late answers: each crossing traced, mended and forced by a test

At fault: Line.begin asked nobody, Platform.exit told the module only. Now Link._may_begin looks as the bytes leave (client's socket, node's standing, time, window for repeats), and a leaving takes what waits with it. - Dispatcher.decide passed a leaving over where its RPC was taken in the same round: held till its time was over, with its place in a key's order. It was not sent on (Gate.opens sees `over`), as the issue asks. - 25 second answers came 0.3 to 3.9 ms behind the first. REST_MS was 1 ms and only a preference, so the next attempt could stand on that connection and take them. Rests are 10 ms now and kept; one that rests counts as a connection to come, so that no more are made. - Every close of a client was transport.close(): over unread bytes a reset. Now a lingering close, bounded in time, bytes and places. Accepted sockets had no TCP_NODELAY: asyncio sets it only where the socket's protocol reads IPPROTO_TCP, and create_server's reads 0. - The end: the listener closed over whoever the system had accepted (and asyncio drops with an assertion whom it accepted the turn before), answers that came in the same turn were not given, a second order began what was queued behind, nothing waited for clients to take their answers, a reload behind it began a watch. - An answer without length came out as a reset where its node ended the stream in order. Wrong in the issue, as read: an EOF with bytes left unread is seen where reading goes on; a reset was never taken for an end.

One story of test_platform.py asked that a connection that rests be used where all do; it now asks that none is, and that it is used in time.

--- a/cherrygrade/gateway/rounds.py
+++ b/cherrygrade/gateway/rounds.py
@@ -67,7 +67,11 @@
             self._loop.call_soon(self._round)
 
     def end(self) -> None:
+        """No round runs any more; answers that came for the next one go out."""
         self._ended = True
+        oks, self._oks = self._oks, []
+        for held, out in oks:
+            self._carrier.answer_ok(held, out)
 
     def take(self, held: Held) -> None:
         self.inbox.taken.append(held)
--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Any
 
 import httptools
@@ -37,18 +38,25 @@
         self.code = code
 
 
+class Framing(Enum):
+    """What told where a message ends."""
+
+    NONE = "nothing"
+    TOLD = "a length, or chunks with their end"
+    ENDED = "the orderly end of its connection"
+
+
 class Message:
     """One whole message. A field that came twice holds both values, parted by a comma."""
 
-    __slots__ = ("begun", "body", "fields", "framed", "method", "status", "target")
+    __slots__ = ("begun", "body", "fields", "framing", "method", "status", "target")
 
     def __init__(self) -> None:
         self.method = self.target = b""
         self.status = 0
         self.fields: dict[bytes, bytes] = {}
         self.body = b""
-        self.framed = False
-        """Its length was told: by a field, or by chunks with their end."""
+        self.framing = Framing.NONE
         self.begun = 0.0
         """When its last byte came, for whoever keeps it waiting."""
 
@@ -123,7 +131,8 @@
         encoding = message.fields.get(b"transfer-encoding")
         if encoding is not None and encoding.lower() != b"chunked":
             raise Fault(501, "no such transfer encoding is read here")
-        message.framed = bool(length) or encoding is not None
+        if length or encoding is not None:
+            message.framing = Framing.TOLD
         if length:
             self._fit(int(length))
         if self._answers:
@@ -150,6 +159,15 @@
             self._room.held -= self._claimed
         self._claimed = 0
 
+    def end(self) -> None:
+        """The peer ended the connection in order: an answer that told no length is whole by that."""
+        message = self._message
+        if not self._answers or message is None or self._in_head or self.fault is not None:
+            return
+        if message.framing is Framing.NONE:
+            message.framing = Framing.ENDED
+            self.on_message_complete()
+
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
         assert message is not None
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import re
+import select
+import socket
 from collections import deque
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,6 +17,10 @@
 
 MOST_KEPT = 16 * 1024  # read ahead of an open RPC, so that a close behind it is noticed
 HIGH = 128 * 1024  # of answers that the client does not take: nothing more is begun for it
+# Behind our end of a connection what still comes is read and dropped until the client ends its side: closing
+# over unread bytes resets the connection, and an answer that the client has not read yet goes with it.
+MOST_DROPPED = 256 * 1024
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 TARGET = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[!-~]{0,1000})?")
 ID = re.compile(rb"[0-9a-f]{16}")
 MS = re.compile(rb"[0-9]{1,9}")
@@ -95,8 +101,8 @@
         """Whoever has its answer goes."""
 
     @property
-    def sighted(self) -> bool:
-        """Nodes are known."""
+    def ready(self) -> bool:
+        """Clients may come."""
 
     @property
     def buffer(self) -> memoryview:
@@ -108,7 +114,16 @@
 
     def spoke(self, visit: Visit) -> None: ...
 
-    def exit(self, visit: Visit, asked: Asked | None) -> None: ...
+    def rests(self, visit: Visit) -> None:
+        """Nothing of it is open any more."""
+
+    def left(self, asked: Asked) -> None:
+        """Its client does not wait for the answer any more."""
+
+    def lingers(self, visit: Visit) -> None:
+        """Our side of it has ended, or the client's: it goes once the other has, or in time."""
+
+    def exit(self, visit: Visit) -> None: ...
 
     def ask(self, visit: Visit, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
@@ -124,11 +139,15 @@
         """It has asked something whole."""
         self.quiet_from = house.clock()
         """When it came, or when the last answer went, or when the message within began."""
+        self.ended = False
+        """Nothing of it is begun any more: what comes is dropped."""
         self._reader = Reader(answers=False)
         self._queue: deque[Message] = deque()
         self._kept = bytearray()
+        self._dropped = 0
         self._transport: asyncio.Transport | None = None
-        self._ended = self._paused = self._looking = False
+        self._poll: select.poll | None = None
+        self._paused = self._looking = False
 
     # What the event loop calls.
 
@@ -137,13 +156,17 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=HIGH)
         if not self.house.enter(self):
-            self.end()
+            self.ended = True
+            transport.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.house.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._ended:
+        if self.ended:
+            self._dropped += nbytes
+            if self._dropped > MOST_DROPPED:
+                self.cut()
             return
         data = bytes(self.house.buffer[:nbytes])
         if self.open is not None or self._queue:
@@ -155,15 +178,45 @@
         self._look()
 
     def eof_received(self) -> bool:
+        self._leave()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._ended = True
-        self._transport = None
+        self._transport = self._poll = None
+        self._leave()
+        self.house.exit(self)
+
+    def _leave(self) -> None:
+        """The client has gone: nothing more is begun for it."""
+        if not self.ended:
+            self._stop()
+        asked, self.open = self.open, None
+        if asked is not None:
+            self.house.left(asked)
+
+    def _stop(self) -> None:
+        self.ended = True
         self._queue.clear()
         self._kept.clear()
-        asked, self.open = self.open, None
-        self.house.exit(self, asked)
+        self.quiet_from = self.house.clock()
+        self.house.lingers(self)
+
+    def look_gone(self) -> bool:
+        """Whether the client has closed, asked right before an attempt begins: its end may be in the system
+        and not read yet, and while reading rests it never would be."""
+        if self.ended or self._transport is None:
+            return True
+        if self._poll is None:
+            sock: socket.socket | None = self._transport.get_extra_info("socket")
+            if sock is None or sock.fileno() < 0:
+                return True
+            self._poll = select.poll()
+            self._poll.register(sock.fileno(), GONE)
+        if not self._poll.poll(0):
+            return False
+        self._leave()
+        self.cut()
+        return True
 
     def pause_writing(self) -> None:
         self._paused = True
@@ -187,20 +240,27 @@
         close = close or self.house.closing
         self.open = None
         self.quiet_from = self.house.clock()
-        if self._transport is None or self._ended:
+        if self._transport is None or self.ended:
             return
         self._transport.write(answer(status, body, fields, close))
         if close:
             self.end()
-        else:
-            self._look()
+            return
+        self._look()
+        if self.open is None and not self.ended:
+            self.house.rests(self)
 
     def end(self) -> None:
-        """Close behind what was written."""
-        self._ended = True
-        self._queue.clear()
-        if self._transport is not None:
-            self._transport.close()  # what it has not taken yet goes first
+        """End our side behind what was written, and let the client end its own: a lingering close."""
+        if self.ended or self._transport is None:
+            return
+        self._stop()
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+            try:
+                self._transport.write_eof()  # what it has not taken yet goes first
+            except OSError:  # the client reset it just now
+                self.cut()
 
     @property
     def unsent(self) -> int:
@@ -212,13 +272,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def turn_out(self) -> None:
+    def turn_out(self, status: int = 408) -> None:
         """It has been silent for too long: with half a message it is told why."""
-        if self._ended:
-            self.cut()  # it does not take its last answer either
+        if self.ended:
+            self.cut()  # it does not take its last answer, or does not end its side
             return
         if self._reader.within and self._transport is not None:
-            self._transport.write(answer(408, close=True))
+            self._transport.write(answer(status, close=True))
         self.end()
 
     # Its own.
@@ -240,7 +300,7 @@
             return
         self._looking = True
         try:
-            while self.open is None and not (self._ended or self._paused):
+            while self.open is None and not (self.ended or self._paused):
                 if self._queue:
                     self._begin(self._queue.popleft())
                 elif self._kept:
@@ -263,7 +323,7 @@
         self.spoken = True
         self.house.spoke(self)
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200 if self.house.sighted else 503, close=closes(message))
+            self.answer(200 if self.house.ready else 503, close=closes(message))
             return
         try:
             self.open = self.house.ask(self, message)
--- a/cherrygrade/platform/discovery.py
+++ b/cherrygrade/platform/discovery.py
@@ -17,7 +17,7 @@
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node
 from cherrygrade.platform.listing import Listing, place
-from cherrygrade.platform.watching import Objects, Silence
+from cherrygrade.platform.watching import AGAIN_MS, Objects, Silence
 
 BUFFER = 64 * 1024
 
@@ -143,7 +143,7 @@
     ) -> None:
         self.address, self.listing = address, listing
         self._clock, self._heard, self._log = clock, heard, log
-        self._backoff = Backoff(name)
+        self._backoff = Backoff(name, most=AGAIN_MS)
         self._watch: Watch | None = None
         self._old: Watch | None = None
         self._again: asyncio.TimerHandle | None = None
@@ -169,6 +169,8 @@
     def move(self, address: str) -> None:
         """Discovery is elsewhere from now on."""
         self.address = address
+        if self._ended:
+            return
         self._set_aside()
         if self._again is not None:
             self._again.cancel()
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -17,14 +17,16 @@
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.wheel import Wheel
 from cherrygrade.held import Out
-from cherrygrade.http.reader import Message, Reader, Room, closes
+from cherrygrade.http.reader import Framing, Message, Reader, Room, closes
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.platform.clients import Asked
 
 NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 NAME = re.compile(rb"[a-z_0-9]{1,32}")
-REST_MS = 1.0  # in which a node that closes behind its answer is heard to do so
+# Between an answer and the next attempt on its connection. Answers carry no id: a second one that comes late,
+# or the close behind the first, finds the connection free and ends it, and is not taken for the next one's.
+REST_MS = 10.0
 
 
 class Line(asyncio.BufferedProtocol):
@@ -35,7 +37,7 @@
         self.out: Out | None = None
         self.ready = self.ended = False
         self.quiet_from = 0.0
-        self._whole = False  # the last byte of the send is with the system
+        self.whole = False  # the last byte of the send is with the system
         self._reader = Reader(answers=True, room=link.sockets.room)
         self._transport: asyncio.Transport | None = None
         self._sock: socket.socket | None = None
@@ -62,27 +64,37 @@
             return
         reader.feed(bytes(self.link.buffer[:nbytes]))
         if reader.found:
-            message = reader.found[0]
-            more = len(reader.found) > 1 or reader.within or reader.fault is not None
-            reader.found.clear()
-            reader.let_go()
-            self.out = None
-            if more or closes(message) or not message.framed:
-                self.drop()
-            self.link.answered(self, out, message)
+            self._take_answer(out)
         elif reader.fault is not None:
             self.out = None
             self.drop()
             self.link.spoilt(out)
 
+    def _take_answer(self, out: Out) -> None:
+        reader = self._reader
+        message = reader.found[0]
+        more = len(reader.found) > 1 or reader.within or reader.fault is not None
+        reader.found.clear()
+        reader.let_go()
+        self.out = None
+        if more or closes(message) or message.framing is not Framing.TOLD:
+            self.drop()
+        self.link.answered(self, out, message)
+
     def eof_received(self) -> bool:
+        """The node's orderly end, which also ends an answer that told no length; a reset never does."""
+        out = self.out
+        if out is not None and not self.ended:
+            self._reader.end()
+            if self._reader.found:
+                self._take_answer(out)
         return False
 
     def pause_writing(self) -> None:
-        self._whole = False
+        self.whole = False
 
     def resume_writing(self) -> None:
-        self._whole = True
+        self.whole = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -90,7 +102,7 @@
         out, self.out, ended, self.ended = self.out, None, self.ended, True
         self.link.lost(self)
         if out is not None and not ended:
-            self.link.ended(out, Outcome.RESET if self._whole else Outcome.UNCONNECTED)
+            self.link.ended(out, Outcome.RESET if self.whole else Outcome.UNCONNECTED)
 
     def clean(self) -> bool:
         """Nothing came on it since its last answer, not even its end: guards against bytes of before that
@@ -104,10 +116,10 @@
     def begin(self, out: Out, data: bytes) -> None:
         assert self._transport is not None
         self.out, out.exchange = out, self
-        self._whole = True
+        self.whole = True
         self._transport.write(data)
         if self._transport.is_closing():
-            self._whole = False  # the system took nothing of it
+            self.whole = False  # the system took nothing of it
 
     def drop(self) -> None:
         """Close at once; nothing is read any more, and nothing of a send leaves any more."""
@@ -163,6 +175,7 @@
         self.making = self.made = 0
         self.shaken = False  # the last connect was reset as it came up
         self._tasks: set[asyncio.Task[None]] = set()
+        self._rest: asyncio.TimerHandle | None = None
 
     def carry(self, out: Out) -> None:
         self.waiting.append(out)
@@ -172,13 +185,24 @@
         now = self.rounds.clock()
         while self.waiting and self.free:
             line = self._rested(now)
+            if line is None:
+                break
             self.free.remove(line)
             self.sockets.idle.pop(line, None)
             if not line.clean():
                 line.drop()
                 continue
-            self._begin(line, self.waiting.popleft())
-        while len(self.waiting) > self.making and self.sockets.take():
+            while self.waiting:
+                out = self.waiting.popleft()
+                if self._may_begin(out):
+                    self._begin(line, out)
+                    break
+                self.ended(out, Outcome.UNSENT)
+            else:
+                self.free.append(line)
+                self.sockets.idle[line] = None
+        # One that rests is there sooner than one that has yet to be made.
+        while len(self.waiting) > self.making + len(self.free) and self.sockets.take():
             line = Line(self)
             self.lines[line] = None
             self.making += 1
@@ -186,13 +210,30 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _rested(self, now: float) -> Line:
-        """The one used last of those that rested, else the one used last. Guards against sends that are reset
-        because their node closed the connection right behind its last answer, and nobody here knew yet."""
+    def _rested(self, now: float) -> Line | None:
+        """The one used last of those that rested; None where all rest still: it is looked again in time."""
         for line in reversed(self.free):
             if now - line.quiet_from >= REST_MS:
                 return line
-        return self.free[-1]
+        if self._rest is None:
+            soonest = min(line.quiet_from for line in self.free) + REST_MS
+            self._rest = asyncio.get_running_loop().call_later((soonest - now) / 1000.0, self._rest_over)
+        return None
+
+    def _rest_over(self) -> None:
+        self._rest = None
+        self.pump()
+
+    def _may_begin(self, out: Out) -> bool:
+        """Looked at as the bytes leave: since it was decided its client may have gone, its node been told to
+        drain, its time or the window for repeats been over."""
+        asked, now = out.rpc, self.rounds.clock()
+        assert isinstance(asked, Asked)
+        if asked.over or now >= out.until_ms or self.node.standing is not Standing.LIVE:
+            return False
+        if asked.visit is None or asked.visit.look_gone():
+            return False
+        return self.rounds.module.gate.repeatable(asked, self.node, now, out)
 
     def _begin(self, line: Line, out: Out) -> None:
         asked = out.rpc
@@ -232,10 +273,10 @@
         line.ready, self.shaken = True, False
         self.making -= 1
         self.made += 1
-        self._give(line)
+        self._give(line, self.rounds.clock() - REST_MS)  # nothing was asked on it yet
 
-    def _give(self, line: Line) -> None:
-        line.quiet_from = self.rounds.clock()
+    def _give(self, line: Line, quiet_from: float) -> None:
+        line.quiet_from = quiet_from
         self.free.append(line)
         self.sockets.idle[line] = None
         self.pump()
@@ -255,7 +296,7 @@
 
     def answered(self, line: Line, out: Out, message: Message) -> None:
         fields = message.fields
-        if message.status == 200 and message.framed:
+        if message.status == 200 and message.framing is not Framing.NONE:
             outcome = Outcome.OK
         elif message.status in (503, 504) and fields.get(b"x-rejected") == b"1":
             outcome = Outcome.FULL
@@ -264,7 +305,7 @@
         self._report(out, fields)
         self.ended(out, outcome, message.body)
         if not line.ended:
-            self._give(line)
+            self._give(line, self.rounds.clock())
 
     def _report(self, out: Out, fields: dict[bytes, bytes]) -> None:
         """What cannot be read tells nothing."""
@@ -303,6 +344,11 @@
         line.drop()
         self.ended(out, outcome)
 
+    def client_left(self, out: Out) -> None:
+        """Nobody waits for the answer: what is not whole with the system stays here."""
+        if out.exchange is None or not out.exchange.whole:
+            self.give_up(out, Outcome.CANCELLED)
+
     def standing_heard(self) -> None:
         """The list spoke of the node: where nothing new may go to it, what has not left stays here."""
         if self.node.standing is not Standing.LIVE:
@@ -321,7 +367,12 @@
             line.drop()
 
     def close(self) -> None:
+        if self._rest is not None:
+            self._rest.cancel()
         for task in [*self._tasks]:
             task.cancel()
+        waiting, self.waiting = self.waiting, deque()
+        for out in waiting:
+            self.ended(out, Outcome.UNSENT)
         for line in [*self.lines]:
             line.drop()
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import select
 import signal
 import sys
 import time
@@ -24,7 +25,7 @@
 from cherrygrade.platform.listing import Listing
 from cherrygrade.platform.nodes import Link, Sockets
 from cherrygrade.platform.orders import Orders, OrdersError, read_orders
-from cherrygrade.platform.watching import BLIND_MS
+from cherrygrade.platform.watching import BLIND_MS, READY_MS
 from cherrygrade.policy import Dispatcher
 from cherrygrade.transport.listening import listen
 
@@ -34,9 +35,13 @@
 KNOCK_MS = 700.0  # that clients still come after the order to leave
 STAY_MS = 3000.0  # the platform kills no sooner than the longest deadline, this at most, and KNOCK_MS later
 # Before that clients are sent away, and what is still held is errored. Who is sent away meets nobody.
-TURN_MS, CUT_MS = 250.0, 150.0
-OWN_SOCKETS = 24  # listener, discovery twice, event loop, standard streams and what Python opens
+TURN_MS, CUT_MS = 270.0, 170.0
+FLUSH_MS = 90.0  # from then on, for clients to take their last answers and to end their side
+LINGER_MS = 1000.0  # for one client to end its side behind our end of its connection
+# Listener, discovery thrice, event loop, standard streams, what Python opens; and those accepted in one turn.
+OWN_SOCKETS = 40
 BACKLOG, ABREAST = 512, 16
+DOOR_TURNS, EMPTY_TURNS = 64, 3  # of the event loop, for whoever the system has accepted as the door closes
 BUFFER = 16 * 1024
 
 
@@ -55,25 +60,30 @@
         self.workloads, self.plans = pairs.workloads(), pairs.plans()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
         self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
-        self.leaving = self.closing = self.sighted = False
+        self.leaving = self.closing = self.ended = self.sighted = self.ready = False
         """`sighted`: nodes are known. What discovery has counts from the first moment on, and the list in
-        the file may be old: nothing is sent and nobody asked to come before discovery has told its own."""
+        the file may be old: nothing is sent before discovery has told its own. `ready` comes with it, or
+        after READY_MS without it: then clients are told when to come back."""
         self._ends_at = float("inf")
-        self.refused = self.left = 0
+        self._code = LEFT_CLEAN
+        self.refused = self.left_count = 0
         self.finals = {200: 0, 503: 0, 502: 0}
         self.buffer = memoryview(bytearray(BUFFER))
         self.visits: dict[Visit, None] = {}
+        self.resting: dict[Visit, None] = {}  # of these who has its answer, by when; until it asks or ends
+        self.lingering: dict[Visit, None] = {}  # ended by us, by when; emptied by clients' ends, and in time
         self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
         self.links: dict[Node, Link] = {}
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel(GRAIN_MS)
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         spare = orders.sockets - OWN_SOCKETS
-        self.most_visits = spare // 2
+        self.most_lingering = max(4, spare // 16)
+        self.most_visits = spare // 2 - self.most_lingering
         self.arrivals: Arrivals[Visit] = Arrivals(self.most_visits, self.most_visits // 2)
         # What nodes bring and what clients have not taken yet each get a part of the memory.
         self.room = Room(orders.memory_mb * 1024 * 1024 // 4)
-        self.sockets = Sockets(spare - self.most_visits, self.room)
+        self.sockets = Sockets(spare - spare // 2, self.room)
         module = pairs.dispatcher(make, orders.seed)
         self.rounds = Rounds(module, self, self._crashed, lambda text: log("module", text=text))
         # One reading of both clocks: a node's birth is told in Unix time.
@@ -92,6 +102,7 @@
         loop = asyncio.get_running_loop()
         self.follower.start()
         self._timers["blind"] = loop.call_later(BLIND_MS / 1000.0, self._by_known)
+        self._timers["ready"] = loop.call_later(READY_MS / 1000.0, self._ready_unsighted)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._sweep()
         self._tell()
@@ -100,6 +111,12 @@
         self.log("listening", address=self.orders.listen)
         return port
 
+    def _ready_unsighted(self) -> None:
+        """Who never gets ready is not used: clients are told to come back instead, until nodes are known."""
+        if not self.ready:
+            self.ready = True
+            self.log("ready without a list: discovery is silent")
+
     def _by_known(self) -> None:
         """Discovery is silent, and a list that may be old serves better than none."""
         if not self.sighted:
@@ -148,40 +165,74 @@
         del self._timers["knock"]
         self._look_done()
 
+    def _close_door(self, turns: int = DOOR_TURNS, empty: int = 0) -> None:
+        """Nobody new comes any more. Closing the listener resets whoever the system has accepted and we have
+        not, and asyncio drops whom it accepted in the turn before: they are let in first."""
+        if self._server is None:
+            return
+        door = select.poll()
+        door.register(self._server.sockets[0].fileno(), select.POLLIN)
+        empty = 0 if door.poll(0) else empty + 1
+        if turns and empty <= EMPTY_TURNS:
+            asyncio.get_running_loop().call_soon(self._close_door, turns - 1, empty)
+            return
+        server, self._server = self._server, None
+        server.close()
+        self._look_done()
+
     def _shut(self) -> None:
         """Nobody new comes any more, and who is here goes with the next answer."""
         self.closing = True
-        if self._server is not None:
-            self._server.close()
+        self._close_door()
         for visit in [*self.visits]:
             if visit.idle and not visit.within:
                 visit.end()
         self._look_done()
 
     def _look_done(self) -> None:
-        alone = self.closing or not (self.visits or "knock" in self._timers)
-        if self.leaving and alone and not self.open:
-            asyncio.get_running_loop().call_soon(self._end, LEFT_CLEAN)
+        loop = asyncio.get_running_loop()
+        if self.ended:
+            if not (self.visits or self.lingering or self._server is not None):
+                loop.call_soon(self._finish)
+            return
+        comes = self._server is not None if self.closing else "knock" in self._timers
+        if self.leaving and not (comes or self.visits or self.open):
+            loop.call_soon(self._end, LEFT_CLEAN)
 
     def _end(self, code: int) -> None:
-        if self.done.done():
+        """Every request gets its final answer now, and clients a moment to take it."""
+        if self.ended:
             return
+        self.ended = self.closing = True
+        self._code = code
         self.rounds.end()
-        for asked in [*self.open.values()]:
-            self._final(asked, 502)
-        if self._server is not None:
-            self._server.close()
-        self.follower.close()
         for link in self.links.values():
             link.close()
-        for visit in [*self.visits]:
-            visit.end()
+        gate, whole = self.rounds.module.gate, code != LEFT_BROKEN  # a broken module's word is not taken
+        for asked in [*self.open.values()]:
+            self._final(asked, 503 if whole and gate.may_reject(asked) else 502)
+        self.follower.close()
         self._alarm.close()
-        self._tell()
         for timer in self._timers.values():
             timer.cancel()
-        self.log("ended", code=code)
-        self.done.set_result(code)
+        for visit in [*self.visits]:
+            visit.turn_out(503)
+        self._timers["flush"] = asyncio.get_running_loop().call_later(FLUSH_MS / 1000.0, self._finish)
+        self._close_door()
+        self._look_done()
+
+    def _finish(self) -> None:
+        if self.done.done():
+            return
+        self._timers["flush"].cancel()
+        if self._server is not None:
+            self._server.close()
+        for visit in [*self.visits, *self.lingering]:
+            visit.cut()
+        self._tell()
+        self._timers["tell"].cancel()
+        self.log("ended", code=self._code)
+        self.done.set_result(self._code)
 
     def _crashed(self, trouble: Exception, round_: str) -> None:
         module_broke(self.log, trouble, round_)
@@ -197,6 +248,9 @@
             slowest = max(unsent, key=unsent.__getitem__)
             del unsent[slowest]
             slowest.cut()
+        for visit in [*self.lingering]:
+            if now - visit.quiet_from >= (SILENT_MS if visit.unsent else LINGER_MS):
+                visit.cut()
         for visit in [*self.visits]:
             if not visit.idle:
                 continue
@@ -227,7 +281,7 @@
             ok=self.finals[200],
             rejected=self.finals[503],
             errored=self.finals[502],
-            left=self.left,
+            left=self.left_count,
             refused=self.refused,
             clients=len(self.visits),
             held=len(self.open),
@@ -241,6 +295,8 @@
     # What visits call.
 
     def enter(self, visit: Visit) -> bool:
+        if len(self.visits) >= self.most_visits and self.resting:
+            next(iter(self.resting)).turn_out()  # who has its answer goes before who may be about to ask
         place, goes = self.arrivals.came(visit, len(self.visits))
         if goes is not None:
             goes.turn_out()
@@ -250,21 +306,46 @@
 
     def spoke(self, visit: Visit) -> None:
         self.arrivals.spoke(visit)
+        self.resting.pop(visit, None)
 
-    def exit(self, visit: Visit, asked: Asked | None) -> None:
+    def rests(self, visit: Visit) -> None:
+        self.resting.pop(visit, None)
+        self.resting[visit] = None
+
+    def left(self, asked: Asked) -> None:
+        self.left_count += 1
+        self.open.pop(asked.call, None)
+        asked.visit = None
+        self.rounds.leave(asked)
+        for out in asked.sends:
+            if out.outcome is None:
+                self.links[out.node].client_left(out)  # type: ignore[arg-type]
+
+    def lingers(self, visit: Visit) -> None:
+        self._out_of_place(visit)
+        self.lingering[visit] = None
+        if len(self.lingering) > self.most_lingering:
+            oldest = next(iter(self.lingering))
+            del self.lingering[oldest]
+            oldest.cut()
+
+    def exit(self, visit: Visit) -> None:
+        self._out_of_place(visit)
+        self.lingering.pop(visit, None)
+        self._look_done()
+
+    def _out_of_place(self, visit: Visit) -> None:
         self.arrivals.spoke(visit)
+        self.resting.pop(visit, None)
         self.visits.pop(visit, None)
-        if asked is not None:
-            self.left += 1
-            self.open.pop(asked.call, None)
-            self.rounds.leave(asked)
-        self._look_done()
 
     def clock(self) -> float:
         return self.rounds.clock()
 
     def ask(self, visit: Visit, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
+        if self.ended:
+            raise Fault(503, "this dispatcher has ended")
         asked = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
         if asked.call in self.open:
             raise Fault(409, "X-Call-Id: open already")
@@ -278,8 +359,9 @@
 
     def _heard(self, nodes: list[Node]) -> None:
         if not self.sighted:
-            self.sighted = True
-            self._timers.pop("blind").cancel()
+            self.sighted = self.ready = True
+            for name in ("blind", "ready"):
+                self._timers.pop(name).cancel()
             self.log("sighted", nodes=len(self.listing.dials), version=self.listing.version)
         for node in nodes:
             link = self.links.get(node)
--- a/cherrygrade/platform/watching.py
+++ b/cherrygrade/platform/watching.py
@@ -13,7 +13,10 @@
 
 QUIET_MS = 3000.0  # an empty line is due every 2 s: this one was a second late
 FIRST_MS = 1000.0  # from the connect to the first list: the agent is on this machine and answers at once
-BLIND_MS = 12000.0  # a new process waits so long for the first list; after it the one in its file has to do
+# A new process without its first list: after READY_MS it is ready, tells clients when to come back and sends
+# nothing; after BLIND_MS the list in its file, which may be old, has to do.
+READY_MS, BLIND_MS = 7000.0, 60000.0
+AGAIN_MS = 250.0  # the longest wait between connects: discovery may be there for a moment only
 MOST_BYTES = 4 * 1024 * 1024
 
 # A string whole, or what opens and closes, or what never stands outside strings; a quote alone is a string
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -377,10 +377,9 @@
         effect, everywhere = rpc.workload.effect, rpc.workload.group == "all"
         return not ran or effect is Effect.IDEMPOTENT or (effect is Effect.TOKENED and everywhere)
 
-    def repeatable(self, rpc: Rpc, node: Node, now: float) -> bool:
-        if not rpc.sends:
-            return True
-        ran = [send for send in rpc.sends if send.outcome is None or not send.outcome.never_ran]
+    def repeatable(self, rpc: Rpc, node: Node, now: float, this: Send | None = None) -> bool:
+        """Whether a send may go, or `this` one may leave now, with what those before it may have done."""
+        ran = [s for s in rpc.sends if s is not this and (s.outcome is None or not s.outcome.never_ran)]
         if not ran or rpc.workload.effect is not Effect.TOKENED:
             return not ran or rpc.workload.effect is Effect.IDEMPOTENT
         group, first = rpc.workload.group, ran[0].node
@@ -453,11 +452,11 @@
             self.hear(peer, word, now)
         for send in answers:
             self.settle(send, now, writer)
-        for rpc in left:
-            if rpc in self.jobs:
-                self.finish(self.jobs[rpc], now)
         for rpc in taken:
             self.take(rpc, now, writer)
+        for rpc in left:  # behind: one may come and leave between two rounds
+            if rpc in self.jobs:
+                self.finish(self.jobs[rpc], now)
         while self.dues and self.dues[0][0] <= now + 0.01:  # a wake may come a rounding early
             due, _, lane = heappop(self.dues)
             if due == lane.due:
--- a/cherrygrade/transport/listening.py
+++ b/cherrygrade/transport/listening.py
@@ -17,7 +17,11 @@
     if own is not None:  # a loop without sockets
         made: asyncio.Server = await own(factory, host, int(port))
         return made
-    door = socket.create_server((host, int(port)), backlog=backlog)
+    # The protocol is named: asyncio lets small writes go at once (TCP_NODELAY) only where it reads so.
+    door = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    door.bind((host, int(port)))
+    door.listen(backlog)
     door.setblocking(False)
     server = await asyncio.get_running_loop().create_server(factory, sock=door, backlog=abreast)
     door.listen(backlog)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,587 @@
+"""What comes between two lines: requests, answers, leavings and signals that cross, each crossing forced.
+
+Raw sockets write and close while the event loop stands, so that all of it lies in the system before the
+dispatcher reads any of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import struct
+
+import pytest
+from fakehost import ORDERED, FakeHost
+from square import SETTINGS, Square, ask, play
+from test_platform import TARGET, Watched
+
+from cherrygrade.gateway.life import LEFT_CLEAN
+from cherrygrade.http.reader import Reader
+from cherrygrade.http.writer import answer
+from cherrygrade.interface import Outcome, Standing
+from cherrygrade.platform import nodes, process
+
+OK = b"HTTP/1.1 200 OK\r\n"
+PUT_ONCE = {"method": "PUT", "body": b"x"}
+
+
+def raw(square: Square, data: bytes = b"") -> socket.socket:
+    """A client whose connection and bytes are in the system, and the event loop has not turned."""
+    sock = socket.create_connection(("127.0.0.1", square.port))
+    sock.sendall(data)
+    return sock
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def narrow(square: Square) -> socket.socket:
+    """A client between whom and the dispatcher the system keeps little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", square.port))
+    platform = square.platform
+    await square.until(lambda: platform.visits)
+    theirs = next(iter(platform.visits))._transport.get_extra_info("socket")
+    theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock
+
+
+async def ends(sock: socket.socket) -> tuple[bytes, bool]:
+    """All that comes, and whether it ended in order."""
+    loop, got = asyncio.get_running_loop(), b""
+    sock.setblocking(False)
+    try:
+        while some := await asyncio.wait_for(loop.sock_recv(sock, 65536), 4.0):
+            got += some
+    except ConnectionError:
+        return got, False
+    finally:
+        sock.close()
+    return got, True
+
+
+def statuses(data: bytes) -> list[int]:
+    reader = Reader(answers=True)
+    reader.feed(data)
+    return [message.status for message in reader.found]
+
+
+async def barrier(square: Square) -> None:
+    """Whatever was on its way before has come by now: a node answered another client."""
+    assert (await (await square.caller()).call(ask())).status == 200
+
+
+def hold_connects(square: Square) -> asyncio.Event:
+    """Connections to nodes come up once this is set."""
+    loop, free = asyncio.get_running_loop(), asyncio.Event()
+    real = loop.create_connection
+
+    async def connect(factory, host, port):
+        if f"{host}:{port}" != square.discovery.address:
+            await free.wait()
+        return await real(factory, host, port)
+
+    loop.create_connection = connect
+    return free
+
+
+# A client that has gone.
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+def test_one_that_asks_and_is_gone_before_its_end_is_read_is_sent_nowhere(tmp_path, end):
+    # What it wrote is read in one turn, its end in the next: the round between them decided to send.
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        await barrier(square)
+        link = next(iter(platform.links.values()))
+        for gone in range(1, 6):
+            await square.until(lambda: link.free)
+            link.free[0].quiet_from = 0.0  # a connection stands ready, so that nothing has to wait
+            end(raw(square, ask()))
+            await square.until(lambda count=gone: platform.left_count == count)
+        await barrier(square)
+        assert len(node.came) == 2 and not platform.open
+        await square.until(lambda: not platform.rounds.module.jobs)
+
+    play(tmp_path, story)
+
+
+def test_one_that_comes_and_leaves_between_two_rounds_holds_nobody_up():
+    host = FakeHost()
+    gone, next_one = host.rpc(ORDERED, key="k"), host.rpc(ORDERED, key="k")
+    gone.over = True
+    host.round(taken=[gone], left=[gone])
+    host.take(next_one)
+    assert [send.rpc for send in host.sent] == [next_one] and list(host.dispatcher.jobs) == [next_one]
+
+
+def test_what_waits_for_a_connection_goes_with_its_client(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        free = hold_connects(square)
+        client = raw(square, ask())
+        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        client.close()
+        await square.until(lambda: not platform.open)
+        assert not any(link.waiting for link in platform.links.values())  # and its slot is free at once
+        free.set()
+        await barrier(square)
+        assert len(node.came) == 1
+
+    play(tmp_path, story)
+
+
+def test_a_connection_that_comes_up_as_its_client_leaves_carries_nothing(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        client, real = raw(square, ask()), nodes.Link.stands
+
+        def stands(link, line):
+            client.close()  # in the system, and not read
+            real(link, line)
+
+        nodes.Link.stands = stands
+        try:
+            await square.until(lambda: platform.left_count)
+        finally:
+            nodes.Link.stands = real
+        await barrier(square)
+        assert len(node.came) == 1
+
+    play(tmp_path, story)
+
+
+def test_a_further_attempt_is_not_begun_for_who_has_gone(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        callers = [await square.caller() for _ in range(2)]
+        await asyncio.gather(*[caller.call(ask()) for caller in callers])
+        link = next(iter(platform.links.values()))
+        assert len(link.free) == 2  # one to be cut, one for the further attempt
+        link.free[0].quiet_from = link.free[1].quiet_from = 0.0
+        node.script.append(False)  # its connection is cut, and the read may go again
+        client, answered = raw(square, ask()), nodes.Link.ended
+
+        def ended(link, out, outcome, body=None):
+            client.close()
+            answered(link, out, outcome, body)
+
+        nodes.Link.ended = ended
+        try:
+            await square.until(lambda: platform.left_count)
+        finally:
+            nodes.Link.ended = answered
+        await barrier(square)
+        assert len(node.came) == 4
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+def test_one_that_sends_much_at_once_and_goes_has_nothing_begun_any_more(tmp_path, end):
+    # Reading rests behind so much, and a reader that rests sees no end.
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=10.0)
+        platform = await square.start()
+        node.script.append(None)
+        client = raw(square, b"".join(ask(X_Budget_Ms="2000") for _ in range(300)))
+        await square.until(lambda: node.came)
+        visit = next(iter(platform.visits))
+        await square.until(lambda: not visit._transport.is_reading())
+        end(client)
+        assert len(node.came) == 1
+        node._answer(node.peers[0], node.came[0])
+        await square.until(lambda: visit not in platform.visits)
+        await barrier(square)
+        assert len(node.came) == 2 and not platform.open
+
+    play(tmp_path, story)
+
+
+def test_many_that_leave_as_a_round_begins_are_all_passed_over(tmp_path, monkeypatch):
+    monkeypatch.setattr(nodes, "REST_MS", 0.0)  # so that the attempts decided in this round begin in it
+
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=40.0)
+        platform = await square.start()
+        module = platform.rounds.module
+        clients = [raw(square, ask(X_Budget_Ms="2000")) for _ in range(40)]
+        await square.until(lambda: node.came and len(module.jobs) == 40)
+        real, before = module.decide, []
+
+        def decide(now, writer, **came):
+            if came["answers"] and not before:
+                before.append(len(node.came))
+                for client in clients:
+                    client.close()
+            real(now, writer, **came)
+
+        module.decide = decide
+        await square.until(lambda: before and not platform.open)
+        await barrier(square)
+        assert len(node.came) == before[0] + 1
+
+    play(tmp_path, story)
+
+
+def test_who_ends_its_side_is_gone_at_once_though_it_has_not_taken_its_last_answer(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        platform.room.most = 10**8
+        node.script.extend([answer(200, bytes(900_000)), None])
+        client = await narrow(square)
+        client.sendall(ask(X_Budget_Ms="2000"))
+        await square.until(lambda: next(iter(platform.visits)).unsent)
+        visit = next(iter(platform.visits))
+        visit._paused = False
+        client.sendall(ask(X_Budget_Ms="2000"))
+        await square.until(lambda: platform.open)
+        client.shutdown(socket.SHUT_WR)
+        await square.until(lambda: not platform.open)
+        assert visit.unsent and platform.left_count == 1
+        client.close()
+
+    play(tmp_path, story)
+
+
+# Closing.
+
+
+def test_small_writes_go_at_once(tmp_path):
+    async def story(square: Square) -> None:
+        platform = await square.start()
+        await square.caller()
+        await square.until(lambda: platform.visits)
+        sock = next(iter(platform.visits))._transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(tmp_path, story)
+
+
+def test_an_answer_behind_which_we_close_outlives_bytes_that_nobody_reads(tmp_path):
+    async def story(square: Square) -> None:
+        platform = await square.start()
+        client = raw(square, b"\x00 nonsense\r\n\r\n")
+        await square.until(lambda: platform.refused)
+        client.sendall(b"more of it" * 1000)
+        await asyncio.sleep(0.02)
+        client.sendall(b"and more" * 1000)
+        got = asyncio.create_task(ends(client))
+        data, orderly = await got
+        assert statuses(data) == [400] and orderly
+        await square.until(lambda: not platform.lingering)
+
+    play(tmp_path, story)
+
+
+def test_a_lingering_close_is_bounded_in_time_bytes_and_places(tmp_path, monkeypatch):
+    monkeypatch.setattr(process, "LINGER_MS", 300.0)
+
+    async def story(square: Square) -> None:
+        platform = await square.start()
+        loop = asyncio.get_running_loop()
+        quiet = raw(square, b"\x00 nonsense\r\n\r\n")
+        await square.until(lambda: platform.lingering)
+        began = loop.time()
+        await square.until(lambda: not platform.lingering)  # it never ends its side
+        assert 0.2 < loop.time() - began < 1.5
+        quiet.close()
+
+        loud = raw(square, b"\x00 nonsense\r\n\r\n")
+        loud.setblocking(False)
+        await square.until(lambda: platform.lingering)
+        with pytest.raises(ConnectionError):
+            for _ in range(1000):
+                await asyncio.wait_for(loop.sock_sendall(loud, bytes(65536)), 4.0)
+        loud.close()
+
+        many = [raw(square, b"\x00 nonsense\r\n\r\n") for _ in range(platform.most_lingering + 20)]
+        await square.until(lambda: platform.refused == 2 + len(many))
+        assert len(platform.lingering) <= platform.most_lingering
+        for one in many:
+            one.close()
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("idle", ["rested", "silent"])
+def test_a_request_that_crosses_our_close_of_an_idle_connection_is_never_passed_on(tmp_path, idle):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        caller = await square.caller()
+        if idle == "rested":
+            assert (await caller.call(ask())).status == 200
+        await square.until(lambda: platform.visits)
+        came = len(node.came)
+        for visit in [*platform.visits]:
+            visit.turn_out()
+        caller.writer.write(ask())  # our end is on its way
+        assert await caller.answer() is None
+        await barrier(square)
+        assert len(node.came) == came + 1 and not platform.open
+
+    play(tmp_path, story)
+
+
+def test_whoever_the_system_accepted_is_answered_before_the_door_closes(tmp_path):
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start()
+        await barrier(square)
+        clients = [raw(square, ask()) for _ in range(40)]  # more than are accepted in one turn
+        platform.leave()
+        platform._shut()
+        told = []
+        for data, orderly in await asyncio.gather(*map(ends, clients)):
+            assert orderly
+            told += statuses(data)
+        assert len(told) == 40 and {200} <= set(told) <= {200, 503}
+        assert await asyncio.wait_for(platform.done, 2.0) == LEFT_CLEAN
+
+    play(tmp_path, story)
+
+
+def test_whoever_comes_in_the_turn_of_the_end_is_told_to_come_back(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        await barrier(square)
+        clients = [raw(square, ask()) for _ in range(20)]
+        platform.leave()
+        platform.leave()
+        for data, orderly in await asyncio.gather(*map(ends, clients)):
+            assert statuses(data) == [503] and orderly
+        await asyncio.wait_for(platform.done, 1.0)
+        assert len(node.came) == 1 and not platform.open
+
+    play(tmp_path, story)
+
+
+def test_a_second_order_to_leave_answers_what_is_open_and_begins_nothing_behind_it(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        node.script.extend([None] * 9)
+        platform = await square.start()
+        two = raw(square, ask() + ask())
+        once = raw(square, ask(X_Call_Class="once", **PUT_ONCE))
+        await square.until(lambda: len(node.came) == 2)
+        os.kill(os.getpid(), signal.SIGHUP)
+        platform.leave()
+        platform.leave()
+        # A read may be asked again; what may have run and must not run again may not.
+        assert [statuses(data) for data, _ in await asyncio.gather(ends(two), ends(once))] == [[503], [502]]
+        await asyncio.wait_for(platform.done, 1.0)
+        assert not platform.open and len(node.came) == 2
+
+    play(tmp_path, story)
+
+
+def test_an_answer_that_came_in_the_turn_of_the_end_is_given(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        node.script.append(None)
+        platform = await square.start()
+        client, outcome = raw(square, ask()), platform.rounds.outcome
+        await square.until(lambda: node.came)
+
+        def came(*parts):
+            outcome(*parts)
+            platform.leave()
+            platform.leave()
+
+        platform.rounds.outcome = came
+        node._answer(node.peers[0], node.came[0])
+        data, orderly = await ends(client)
+        assert statuses(data) == [200] and orderly
+        await asyncio.wait_for(platform.done, 1.0)
+
+    play(tmp_path, story)
+
+
+def test_the_end_waits_for_clients_to_take_their_last_answers(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        platform.room.most, large = 10**8, bytes(900_000)
+        node.script.append(answer(200, large))
+        client = await narrow(square)
+        client.sendall(ask(X_Budget_Ms="2000"))
+        await square.until(lambda: next(iter(platform.visits)).unsent)
+        platform.leave()
+        platform.leave()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert not platform.done.done()
+        data, orderly = await ends(client)
+        assert data.endswith(large) and orderly
+        await asyncio.wait_for(platform.done, 1.0)
+
+    play(tmp_path, story)
+
+
+def test_an_order_to_leave_before_the_first_list_and_a_reload_behind_the_end(tmp_path):
+    async def story(square: Square) -> None:
+        await square.node()
+        square.discovery.down = True
+        platform = await square.begin()
+        client = raw(square, ask(X_Budget_Ms="150"))
+        await square.until(lambda: platform.open)
+        platform.leave()
+        data, _ = await ends(client)
+        assert statuses(data) == [503]
+        assert await asyncio.wait_for(platform.done, 2.0) == LEFT_CLEAN
+        asked, moved = len(square.discovery.asked), type(square.discovery)()
+        await moved.open()
+        square.write_orders(discovery=moved.address)
+        platform.reload()
+        await asyncio.sleep(0.05)
+        assert not moved.made and len(square.discovery.asked) == asked
+        moved.close()
+
+    play(tmp_path, story)
+
+
+# Nodes.
+
+
+@pytest.mark.parametrize("end, told", [("orderly", Outcome.OK), ("reset", Outcome.RESET)])
+@pytest.mark.parametrize("head", [OK + b"\r\n", OK + b"Connection: close\r\n\r\n"])
+@pytest.mark.parametrize("drains", [False, True])
+def test_an_answer_that_tells_no_length_ends_with_the_stream_and_never_by_a_reset(
+    tmp_path, end, told, head, drains
+):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.append(None)
+        client = asyncio.create_task((await square.caller()).call(ask(X_Call_Class="once", **PUT_ONCE)))
+        await square.until(lambda: node.came)
+        peer = node.peers[0]
+        for byte in head + b"made for it":
+            peer.write(bytes([byte]))
+            await asyncio.sleep(0.001)
+        if drains:
+            square.discovery.tell(node.entry("terminating"))
+            await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.DRAINING)
+        assert not client.done()
+        peer.transport.close() if end == "orderly" else reset(peer.transport.get_extra_info("socket").dup())
+        if end == "reset":
+            peer.cut()
+        answered = await client
+        assert platform.rounds.module.told == [told]
+        if told is Outcome.OK:
+            assert (answered.status, answered.body) == (200, b"made for it")
+        else:
+            assert answered.status == 502
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [
+        OK[:9],
+        OK + b"X: ",
+        OK + b"Content-Length: 9\r\n\r\nmade",
+        OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nma",
+    ],
+)
+def test_an_answer_cut_in_its_head_length_or_chunk_is_nobodys_however_its_stream_ends(tmp_path, cut):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.append(None)
+        client = asyncio.create_task((await square.caller()).call(ask(X_Call_Class="once", **PUT_ONCE)))
+        await square.until(lambda: node.came)
+        node.peers[0].write(cut)
+        node.peers[0].transport.close()
+        assert (await client).status == 502 and platform.rounds.module.told == [Outcome.RESET]
+
+    play(tmp_path, story)
+
+
+def test_an_answer_without_end_is_given_up_and_its_end_comes_too_late_for_anybody(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        node.script.append(None)
+        caller = await square.caller()
+        client = asyncio.create_task(caller.call(ask(X_Call_Class="once", X_Budget_Ms="200", **PUT_ONCE)))
+        await square.until(lambda: node.came)
+        peer = node.peers[0]
+        peer.write(OK + b"\r\nmade for it")
+        assert (await client).status == 502 and platform.rounds.module.told == [Outcome.TIMED_OUT]
+        peer.cut()
+        assert (await caller.call(ask())).body == b"of " + TARGET
+
+    play(tmp_path, story)
+
+
+def test_a_second_answer_that_comes_late_is_not_the_next_requests(tmp_path):
+    # Seen up to 4 ms behind the first, and nothing tells it apart: the next attempt waits until it were here.
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        node.script.append(answer(200, b"mine"))
+        caller = await square.caller()
+        assert (await caller.call(ask())).body == b"mine"
+        link = next(iter(platform.links.values()))
+        link.free[0].quiet_from = platform.rounds.clock() + 40.0  # as though it had come just now, all along
+        caller.writer.write(ask())
+        await square.until(lambda: link.waiting)
+        node.peers[0].write(answer(200, b"somebody else's"))
+        assert (await caller.answer()).body == b"of " + TARGET
+        assert node.made == 2 and len(node.came) == 2
+
+    play(tmp_path, story)
+
+
+def test_the_window_for_repeats_is_looked_at_as_the_bytes_leave(tmp_path):
+    kinds = [kind | {"effect": "dedup", "windowS": 0.4} for kind in SETTINGS["classes"]]
+    settings = SETTINGS | {"classes": kinds, "limits": SETTINGS["limits"] | {"connectTimeoutS": 5.0}}
+
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched, settings=settings)
+        node.script.append(None)
+        caller = await square.caller()
+        first = asyncio.create_task(caller.call(ask(method="PUT", body=b"x", X_Budget_Ms="1500")))
+        await square.until(lambda: node.came)
+        sent = platform.rounds.clock()
+        free = hold_connects(square)
+        node.peers[0].cut()
+        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        assert platform.rounds.clock() < sent + 350.0
+        await asyncio.sleep(0.45)
+        free.set()  # decided within the window, there to leave behind it
+        assert (await first).status == 503  # its nodes drop repeats, so its client may ask again
+        assert len(node.came) == 1 and platform.rounds.module.told == [Outcome.RESET, Outcome.UNSENT]
+
+    play(tmp_path, story)
+
+
+def test_a_node_told_to_drain_while_a_connection_comes_up_is_sent_nothing(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        caller, free = await square.caller(), hold_connects(square)
+        client = asyncio.create_task(caller.call(ask()))
+        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        met = next(iter(platform.listing.dials))
+        met.standing = Standing.DRAINING  # told, and nobody has looked through what waits yet
+        free.set()
+        assert (await client).status == 503 and not node.came
+
+    play(tmp_path, story)
