Fields for the node pass on; a variant of the users' site found every request of keyed classes changed

What differed was Idempotency-Key, which clients send in classes whose nodes drop repeats: Link._begin wrote four fields of its own and nothing of the client's. Now all fields pass on but those of the hop (Connection and what it names, framing, Expect) and those that are told anew.

--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -27,6 +27,12 @@
 UNITS = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,6})?")
 SHARD = re.compile(rb"-1|[0-9]{1,6}")
 HOSTS = re.compile(rb"[0-9]{1,6}")
+# What a client says to this hop, or is said anew to the next. All else is the node's: Idempotency-Key above
+# all, by which it knows a repeat.
+OWN = frozenset(
+    b"host connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade "
+    b"content-length expect x-call-id x-call-class x-storage-class x-budget-ms x-extent x-again".split()
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -37,6 +43,13 @@
     call: bytes = b""
     method: bytes = b""
     target: bytes = b""
+    fields: tuple[tuple[bytes, bytes], ...] = ()
+    """Of its message, what is for the node."""
+
+
+def _passes_on(fields: dict[bytes, bytes]) -> tuple[tuple[bytes, bytes], ...]:
+    named = {name.strip().lower() for name in fields.get(b"connection", b"").split(b",")}
+    return tuple(field for field in fields.items() if field[0] not in OWN and field[0] not in named)
 
 
 def read_rpc(
@@ -87,6 +100,7 @@
         call=call,
         method=message.method,
         target=message.target,
+        fields=_passes_on(fields),
     )
 
 
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -245,6 +245,7 @@
             (b"X-Call-Class", asked.workload.name.encode("latin-1")),
             (b"X-Storage-Class", asked.plan.name.encode("latin-1")),
             (b"X-Budget-Ms", b"%d" % max(1, left)),
+            *asked.fields,
         )
         body = bytes(asked.body) if asked.writes and asked.body else b""
         line.begin(out, ask(asked.method, asked.target, f"{host}:{port}".encode(), fields, body))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -52,6 +52,24 @@
     play(tmp_path, story)
 
 
+def test_fields_for_the_node_pass_on_and_those_of_this_hop_do_not(tmp_path):
+    # Without Idempotency-Key a node cannot know a repeat; a variant of the users' site showed it.
+    async def story(square: Square) -> None:
+        node = await square.node()
+        await square.start()
+        caller = await square.caller()
+        own = {"Connection": "X-Hop", "X-Hop": "1", "TE": "trailers", "Expect": "x", "Keep-Alive": "5"}
+        more = {name.replace("-", "_"): value for name, value in own.items()}
+        key = {"Idempotency_Key": "01f1e0746ca2b6ec", "Traceparent": "00-ab-cd-01"}
+        assert (await caller.call(ask(method="PUT", body=b"x", X_Again="1", **key, **more))).status == 200
+        came = node.came[0].fields
+        assert (came[b"idempotency-key"], came[b"traceparent"]) == (b"01f1e0746ca2b6ec", b"00-ab-cd-01")
+        assert not {name.lower().encode() for name in own} & set(came) and b"x-again" not in came
+        assert came[b"content-length"] == b"1" and b"," not in came[b"x-budget-ms"]
+
+    play(tmp_path, story)
+
+
 # What a client can't mean is told to it and goes nowhere: passed on, it would void more than its own RPC.
 @pytest.mark.parametrize(
     "data",
