--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -550,6 +550,33 @@
     play(tmp_path, story)
 
 
+def test_a_new_process_is_ready_in_time_without_a_list_and_sends_nothing_by_an_old_one(tmp_path, monkeypatch):
+    # Nine in ten are to be ready within 10 s, also where discovery is down for longer; rule 3 does not pay.
+    assert watching.READY_MS <= 8000.0 < watching.BLIND_MS
+    monkeypatch.setattr(process, "READY_MS", 200.0)
+
+    async def story(square: Square) -> None:
+        node = await square.node()
+        square.discovery.down = True
+        platform = await square.begin()  # the file names the node, and so did discovery a while ago
+        caller, other = await square.caller(), await square.caller()
+        ready = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+        assert (await caller.call(ready)).status == 503
+        await square.until(lambda: platform.ready)
+        assert (await caller.call(ready)).status == 200 and not platform.sighted
+        answered = await caller.call(ask())
+        assert answered.status == 503 and answered.fields[b"retry-after"] and not node.came
+        square.discovery.tell(node.entry("terminating"))
+        square.discovery.down = False
+        await square.until(lambda: platform.sighted)
+        assert (await other.call(ask())).status == 503 and not node.came
+        square.discovery.tell(node.entry())
+        await square.until(lambda: next(iter(platform.listing.dials)).standing is Standing.LIVE)
+        assert (await other.call(ask())).status == 200
+
+    play(tmp_path, story)
+
+
 def test_where_discovery_stays_silent_the_files_list_serves_after_a_time(tmp_path, monkeypatch):
     monkeypatch.setattr(process, "BLIND_MS", 200.0)
 
