Cold nodes: the mean that divides their budget strays less; all gates together held to N + 2 root N + 2

What is unlike between gates else was not wrong: parts, lists, restarts, units. Not provable from settings alone and left: how a node grows (taken as even over the time that they name).

--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -258,7 +258,7 @@
             self.strikes, self.last_answer = 0, now
             self.errors += 0.1 * ((outcome is not Outcome.OK) - self.errors)
         if outcome is Outcome.OK:
-            self.others.answer_ms += 0.02 * (rate - self.others.answer_ms)
+            self.others.answer_ms += 0.01 * (rate - self.others.answer_ms)
             self.others.quiet_ms = min(self.others.quiet_ms, self.others.answer_ms)
             # Seldom answered, it would take a first long wait for its work: it starts from what others show.
             for lane, steps in ((self.others, 1.0), (self, min(5.0, 1.0 + silent / INTERVAL_MS))):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -289,9 +289,21 @@
         node = await square.node()
         platform = await square.start(Watched)
         node.script.extend([None] * 9)
-        began = time.monotonic()
-        answered = await (await square.caller()).call(ask(X_Budget_Ms="300"))
-        assert answered.status in (502, 503) and time.monotonic() - began < 0.3
+        caller, asks, carried, real = await square.caller(), [], [], platform.carry
+
+        def carry(out, limit_ms):
+            real(out, limit_ms)
+            carried.append(out)
+
+        platform.carry = carry
+        caller.writer.write(ask(X_Budget_Ms="300"))
+        await square.until(lambda: platform.open)
+        asks += platform.open.values()
+        answered = await caller.answer()
+        assert answered.status in (502, 503)
+        # By its own clock, as a busy machine turns the loop late: the timer that gives it up stands in time.
+        assert asks[0].give_up_ms <= carried[0].sent_ms + 300.0 - process.ANSWER_MS
+        assert carried[0].slot * process.GRAIN_MS <= asks[0].give_up_ms + process.GRAIN_MS
         assert Outcome.TIMED_OUT in platform.rounds.module.told
         await square.until(lambda: not node.peers)
         assert not platform.open and not platform.sockets.used
