--- a/cherrygrade/platform/orders.py
+++ b/cherrygrade/platform/orders.py
@@ -30,6 +30,11 @@
     pairs: StartPairs
 
 
+def _seen(value: Any) -> str:
+    """What stood there, as far as it fits a line."""
+    return json.dumps(value, default=str)[:80]
+
+
 def read_orders(env: Mapping[str, str]) -> Orders:
     file = env.get("BALANCER_CONFIG", "")
     if not file:
@@ -46,13 +51,13 @@
     def text(key: str, variable: str) -> str:
         value = told.get(key, env.get(variable, ""))
         if not isinstance(value, str) or not value:
-            raise OrdersError(f"{key}: missing, and {variable} is not set")
+            raise OrdersError(f"{key}: text wanted, here or in {variable}, not {_seen(value)}")
         return value
 
     def table(key: str, within: dict[str, Any], default: Any = None) -> dict[str, Any]:
         value = within.get(key, default)
         if not isinstance(value, dict):
-            raise OrdersError(f"{key}: no object")
+            raise OrdersError(f"{key}: an object wanted, not {_seen(value)}")
         return value
 
     listen, discovery = text("listen", "BALANCER_LISTEN"), text("discovery", "BALANCER_DISCOVERY")
@@ -65,22 +70,21 @@
     try:
         number = int(seed, 16)
     except (TypeError, ValueError):
-        raise OrdersError("seed: no hexadecimal number") from None
+        raise OrdersError(f"seed: a hexadecimal number wanted, not {_seen(seed)}") from None
     limits = table("limits", told, {})
     sockets, memory_mb = limits.get("sockets", 1024), limits.get("memory_mb", 192)
-    if not isinstance(sockets, int) or sockets < 64:
-        raise OrdersError("limits.sockets: less than the 64 that a dispatcher needs")
-    if not isinstance(memory_mb, int) or memory_mb < 24:
-        raise OrdersError("limits.memory_mb: less than the 24 that a dispatcher needs")
+    for key, value, least in (("sockets", sockets, 64), ("memory_mb", memory_mb, 24)):
+        if not isinstance(value, int) or isinstance(value, bool) or value < least:
+            raise OrdersError(f"limits.{key}: a whole number from {least} on wanted, not {_seen(value)}")
     pairs = StartPairs.nested(table("settings", told))
     try:
         if not pairs.workloads():
-            raise OrdersError("settings.classes: empty")
+            raise OrdersError("settings.classes: a list of one class or more wanted, not []")
         if not pairs.plans():
-            raise OrdersError("settings.grades: empty")
+            raise OrdersError("settings.grades: a list of one plan or more wanted, not []")
         pairs.dispatcher(Dispatcher, number)
     except ValueError as trouble:
-        raise OrdersError(f"settings: {trouble}") from None
+        raise OrdersError(f"settings.{trouble}") from None
     known = table("known", told, {"seq": -1, "whole": True, "hosts": []})
     try:
         Listing(Nodes(), float).hear(known)
--- a/cherrygrade/start.py
+++ b/cherrygrade/start.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -58,7 +59,13 @@
 
     def number(self, path: str, default: float = 0.0) -> float:
         value = self.text(path)
-        return float(value) if value else default
+        try:
+            number = float(value) if value else default
+        except ValueError:
+            number = math.nan
+        if math.isnan(number):
+            raise ValueError(f"{path}: a number wanted, not '{value[:80]}'")
+        return number
 
     def ms(self, path: str, default_s: float = 0.0) -> float:
         return self.number(path, default_s) * 1000.0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -697,22 +697,39 @@
 
 
 @pytest.mark.parametrize(
-    "change, named",
+    "change, told",
     [
-        ({"listen": "here"}, "listen"),
-        ({"discovery": 5}, "discovery"),
-        ({"seed": "xyz"}, "seed"),
-        ({"limits": {"sockets": 9}}, "limits.sockets"),
-        ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
-        ({"settings": SETTINGS | {"classes": []}}, "settings.classes"),
-        ({"settings": SETTINGS | {"limits": {"maxAttempts": "four"}}}, "settings"),
-        ({"known": {"seq": 1}}, "known"),
+        ({"listen": "here"}, "listen: 'here' is no host:port"),
+        ({"discovery": 5}, "discovery: text wanted, here or in BALANCER_DISCOVERY, not 5"),
+        ({"seed": "xyz"}, 'seed: a hexadecimal number wanted, not "xyz"'),
+        ({"limits": {"sockets": 9}}, "limits.sockets: a whole number from 64 on wanted, not 9"),
+        ({"limits": {"memory_mb": "much"}}, 'limits.memory_mb: a whole number from 24 on wanted, not "much"'),
+        ({"limits": [1]}, "limits: an object wanted, not [1]"),
+        ({"settings": None}, "settings: an object wanted, not null"),
+        (
+            {"settings": SETTINGS | {"classes": []}},
+            "settings.classes: a list of one class or more wanted, not []",
+        ),
+        (
+            {"settings": SETTINGS | {"grades": []}},
+            "settings.grades: a list of one plan or more wanted, not []",
+        ),
+        (
+            {"settings": SETTINGS | {"limits": {"maxAttempts": "four"}}},
+            "settings.limits.maxAttempts: a number wanted, not 'four'",
+        ),
+        (
+            {"settings": SETTINGS | {"classes": [SETTINGS["classes"][0] | {"hardLimitS": "nan"}]}},
+            "settings.classes.0.hardLimitS: a number wanted, not 'nan'",
+        ),
+        ({"known": {"seq": 1}}, "known: no list of hosts"),
     ],
 )
-def test_a_wrong_configuration_names_its_key(tmp_path, change, named):
+def test_a_wrong_configuration_names_its_key_what_is_wanted_and_what_stood_there(tmp_path, change, told):
     square = Square(tmp_path)
     square.write_orders()
     whole = json.loads((tmp_path / "config.json").read_text()) | change
     (tmp_path / "config.json").write_text(json.dumps(whole))
-    with pytest.raises(OrdersError, match=rf"^{named}"):
+    with pytest.raises(OrdersError) as trouble:
         read_orders(square.env)
+    assert str(trouble.value) == told
