--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -77,7 +77,8 @@
         reader.found.clear()
         reader.let_go()
         self.out = None
-        if more or closes(message) or message.framing is not Framing.TOLD:
+        # Where not all of the attempt has left, the rest of it would stand in front of the next one.
+        if more or closes(message) or message.framing is not Framing.TOLD or not self.whole:
             self.drop()
         self.link.answered(self, out, message)
 
@@ -257,6 +258,8 @@
             async with asyncio.timeout(self.connect_ms / 1000.0):
                 await loop.create_connection(lambda: line, host, port)
         except (OSError, KeyError) as trouble:  # TimeoutError is an OSError
+            if line.ready:
+                return  # it came up in the turn of its time-out, and ends with what was begun on it
             line.ended = True
             self.lost(line)
             shaken, self.shaken = self.shaken, isinstance(trouble, ConnectionResetError)
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -242,7 +242,7 @@
         """What has been silent for too long goes; nodes that are gone are forgotten."""
         now = self.rounds.clock()
         crowd = len(self.visits) > self.most_visits * 3 // 4
-        unsent = {visit: visit.unsent for visit in self.visits if visit.unsent}
+        unsent = {visit: visit.unsent for visit in [*self.visits, *self.lingering] if visit.unsent}
         while sum(unsent.values()) > self.room.most:
             # Answers that wait for clients to take them would be the process's end, and everybody's.
             slowest = max(unsent, key=unsent.__getitem__)
@@ -295,8 +295,10 @@
     # What visits call.
 
     def enter(self, visit: Visit) -> bool:
-        if len(self.visits) >= self.most_visits and self.resting:
-            next(iter(self.resting)).turn_out()  # who has its answer goes before who may be about to ask
+        if len(self.visits) >= self.most_visits:  # who has its answer goes before who may be about to ask
+            rests = next((one for one in self.resting if not one.within), None)
+            if rests is not None:
+                rests.turn_out()
         place, goes = self.arrivals.came(visit, len(self.visits))
         if goes is not None:
             goes.turn_out()
@@ -318,8 +320,9 @@
         asked.visit = None
         self.rounds.leave(asked)
         for out in asked.sends:
-            if out.outcome is None:
-                self.links[out.node].client_left(out)  # type: ignore[arg-type]
+            link = self.links.get(out.node)
+            if out.outcome is None and link is not None:
+                link.client_left(out)  # type: ignore[arg-type]
 
     def lingers(self, visit: Visit) -> None:
         self._out_of_place(visit)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Outcome, Standing
 from cherrygrade.platform import nodes, process
+from cherrygrade.standin import web
 
 OK = b"HTTP/1.1 200 OK\r\n"
 PUT_ONCE = {"method": "PUT", "body": b"x"}
@@ -585,3 +586,82 @@
         assert (await client).status == 503 and not node.came
 
     play(tmp_path, story)
+
+
+def test_a_connection_that_comes_up_in_the_turn_of_its_time_out_ends_what_was_begun_on_it(tmp_path):
+    # The attempt had no outcome then, until its client's time was over.
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=60.0)
+        platform = await square.start(Watched)
+        loop, caller, left = asyncio.get_running_loop(), await square.caller(), [1]
+        real = loop.create_connection
+
+        async def connect(factory, host, port):
+            transport, protocol = await real(factory, host, port)
+            if left[0]:
+                left[0] = 0
+                assert protocol.out is not None
+                transport.close()  # as asyncio does where its waiter is cancelled behind connection_made
+                raise TimeoutError
+            return transport, protocol
+
+        loop.create_connection = connect
+        asked = loop.time()
+        assert (await caller.call(ask(X_Budget_Ms="2000"))).status == 200
+        assert loop.time() - asked < 1.0 and platform.rounds.module.told == [Outcome.RESET, Outcome.OK]
+        assert sum(link.making for link in platform.links.values()) == 0
+        assert platform.sockets.used == len(node.peers) or len(node.peers) == 2
+
+    play(tmp_path, story)
+
+
+@pytest.fixture
+def narrow_ways(monkeypatch):
+    """Little of a request to a node is with the system, and the first connection is not read."""
+    line_made, peer_made = nodes.Line.connection_made, web.Peer.connection_made
+
+    def narrow_line(line, transport):
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        line_made(line, transport)
+
+    def deaf_at_first(peer, transport):
+        peer_made(peer, transport)
+        if isinstance(peer.owner, web.WebNode) and peer.owner.made == 1:
+            transport.pause_reading()
+
+    monkeypatch.setattr(nodes.Line, "connection_made", narrow_line)
+    monkeypatch.setattr(web.Peer, "connection_made", deaf_at_first)
+
+
+def test_what_has_not_left_whole_as_its_client_goes_never_does(tmp_path, narrow_ways):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        node._server.sockets[0]._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client = raw(square, ask(method="PUT", body=bytes(65536)))
+        await square.until(lambda: any(line.out for k in platform.links.values() for line in k.lines))
+        client.close()
+        await square.until(lambda: not platform.open)
+        node.peers[0].transport.resume_reading()
+        await square.until(lambda: not node.peers)
+        assert not node.came
+
+    play(tmp_path, story)
+
+
+def test_an_answer_in_front_of_the_requests_last_byte_ends_its_connection(tmp_path, narrow_ways):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        listening = node._server.sockets[0]._sock
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller = await square.caller()
+        write = asyncio.create_task(caller.call(ask(method="PUT", body=bytes(65536))))
+        await square.until(lambda: any(line.out for k in platform.links.values() for line in k.lines))
+        line = next(line for k in platform.links.values() for line in k.lines)
+        assert not line.whole
+        node.peers[0].write(answer(503, fields=b"X-Rejected: 1\r\n"))
+        assert (await write).status == 200  # turned away unread, so it went again
+        assert platform.rounds.module.told == [Outcome.FULL, Outcome.OK] and node.made == 2
+
+    play(tmp_path, story)
