--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -247,7 +247,7 @@
         visit = next(iter(platform.visits))
         visit._paused = False
         client.sendall(ask(X_Budget_Ms="2000"))
-        await square.until(lambda: platform.open)
+        await square.until(lambda: platform.open and len(node.came) == 2)
         client.shutdown(socket.SHUT_WR)
         await square.until(lambda: not platform.open)
         assert visit.unsent and platform.left_count == 1
