A request that lies unread as its connection is to close is read and answered first

The client has to ask again then, and after the listener closed it finds nobody. Visit.unread asks the socket right before; the request is served, or told to come back at the end. Four stories, the bytes there and the loop not turned; each fails where unread is always false.

--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -220,18 +220,29 @@
         and not read yet, and while reading rests it never would be."""
         if self.ended or self._transport is None:
             return True
-        if self._poll is None:
-            sock: socket.socket | None = self._transport.get_extra_info("socket")
-            if sock is None or sock.fileno() < 0:
-                return True
-            self._poll = select.poll()
-            self._poll.register(sock.fileno(), GONE)
-        if not self._poll.poll(0):
+        if not self._lies_there() & GONE:
             return False
         self._leave()
         self.cut()
         return True
 
+    @property
+    def unread(self) -> bool:
+        """Something came that was not read yet: it may be a request, which is owed an answer."""
+        return not self.ended and bool(self._lies_there() & select.POLLIN)
+
+    def _lies_there(self) -> int:
+        """What the system holds of the client's, as poll says it."""
+        if self._poll is None:
+            if self._transport is None:
+                return GONE
+            sock: socket.socket | None = self._transport.get_extra_info("socket")
+            if sock is None or sock.fileno() < 0:
+                return GONE
+            self._poll = select.poll()
+            self._poll.register(sock.fileno(), GONE | select.POLLIN)
+        return sum(events for _, events in self._poll.poll(0))
+
     def pause_writing(self) -> None:
         self._paused = True
 
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -185,7 +185,7 @@
         self.closing = True
         self._close_door()
         for visit in [*self.visits]:
-            if visit.idle and not visit.within:
+            if visit.idle and not (visit.within or visit.unread):
                 visit.end()
         self._look_done()
 
@@ -216,7 +216,8 @@
         for timer in self._timers.values():
             timer.cancel()
         for visit in [*self.visits]:
-            visit.turn_out(503)
+            if not visit.unread:  # else it is read in the next turn, and told to come back
+                visit.turn_out(503)
         self._timers["flush"] = asyncio.get_running_loop().call_later(FLUSH_MS / 1000.0, self._finish)
         self._close_door()
         self._look_done()
@@ -256,7 +257,7 @@
                 continue
             quiet = now - visit.quiet_from
             silent = not visit.spoken or visit.within
-            if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS):
+            if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS) and not visit.unread:
                 visit.turn_out()
         for link in [*self.links.values()]:
             link.close_idle(now)
@@ -296,7 +297,7 @@
 
     def enter(self, visit: Visit) -> bool:
         if len(self.visits) >= self.most_visits:  # who has its answer goes before who may be about to ask
-            rests = next((one for one in self.resting if not one.within), None)
+            rests = next((one for one in self.resting if not (one.within or one.unread)), None)
             if rests is not None:
                 rests.turn_out()
         place, goes = self.arrivals.came(visit, len(self.visits))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 from cherrygrade.http.reader import Reader
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Outcome, Standing
-from cherrygrade.platform import nodes, process
+from cherrygrade.platform import clients, nodes, process
 from cherrygrade.standin import web
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -336,6 +336,36 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("when, told", [("shut", 200), ("end", 503), ("crowd", 200), ("sweep", 200)])
+def test_a_request_that_lies_unread_as_its_connection_is_to_close_is_answered(tmp_path, when, told):
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start()
+        client = raw(square, ask())
+        await square.until(lambda: platform.resting)
+        client.sendall(ask())  # there, and the loop has not turned
+        if when == "shut":
+            platform.leave()
+            platform._shut()
+        elif when == "end":
+            platform.leave()
+            platform.leave()
+        elif when == "crowd":
+            platform.most_visits = 1
+            platform.enter(clients.Visit(platform))  # somebody fresh in the same turn
+        else:
+            next(iter(platform.visits)).quiet_from -= 1e6
+            platform._sweep()
+        got = asyncio.create_task(ends(client))
+        if when in ("crowd", "sweep"):
+            await square.until(lambda: platform.finals[200] == 2)
+            next(iter(platform.resting)).turn_out()
+        data, orderly = await got
+        assert statuses(data) == [200, told] and orderly
+
+    play(tmp_path, story)
+
+
 def test_whoever_the_system_accepted_is_answered_before_the_door_closes(tmp_path):
     async def story(square: Square) -> None:
         await square.node()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -123,6 +123,12 @@
 
             # Discovery is back: its watch and the connections to nodes had their places all along.
             one.discovery.down = False
+
+            async def watched() -> bool:
+                return len(one.discovery.asked) > asked and len(one.discovery.peers) == 1
+
+            asked = len(one.discovery.asked)
+            await one.until(watched, 4.0)
             one.discovery.tell(one.node.entry("terminating"))
 
             async def drained() -> bool:
