--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -1,4 +1,4 @@
-"""The clients' door: one connection a visit, one RPC at a time on it, answers in order."""
+"""The clients' door: one connection a client, one RPC at a time on it, answers in order."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 class Asked(Held):
     """A client's RPC, with what of its message passes on."""
 
-    visit: Visit | None = None
+    client: ClientConnection | None = None
     call: bytes = b""
     method: bytes = b""
     target: bytes = b""
@@ -104,7 +104,7 @@
     )
 
 
-class House(Protocol):
+class ConnectionOwner(Protocol):
     """The dispatcher, as its clients' connections need it."""
 
     refused: int
@@ -124,34 +124,34 @@
 
     def clock(self) -> float: ...
 
-    def enter(self, visit: Visit) -> bool: ...
+    def enter(self, client: ClientConnection) -> bool: ...
 
-    def spoke(self, visit: Visit) -> None: ...
+    def spoke(self, client: ClientConnection) -> None: ...
 
-    def rests(self, visit: Visit) -> None:
+    def rests(self, client: ClientConnection) -> None:
         """Nothing of it is open any more."""
 
     def left(self, asked: Asked) -> None:
         """Its client does not wait for the answer any more."""
 
-    def lingers(self, visit: Visit) -> None:
+    def lingers(self, client: ClientConnection) -> None:
         """Our side of it has ended, or the client's: it goes once the other has, or in time."""
 
-    def exit(self, visit: Visit) -> None: ...
+    def exit(self, client: ClientConnection) -> None: ...
 
-    def ask(self, visit: Visit, message: Message) -> Asked:
+    def ask(self, client: ClientConnection, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
 
 
-class Visit(asyncio.BufferedProtocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection. What is read ahead is bounded: messages of one piece read and `_kept`."""
 
-    def __init__(self, house: House) -> None:
-        self.house = house
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self.owner = owner
         self.open: Asked | None = None
         self.spoken = False
         """It has asked something whole."""
-        self.quiet_from = house.clock()
+        self.quiet_from = owner.clock()
         """When it came, or when the last answer went, or when the message within began."""
         self.ended = False
         """Nothing of it is begun any more: what comes is dropped."""
@@ -169,12 +169,12 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=HIGH)
-        if not self.house.enter(self):
+        if not self.owner.enter(self):
             self.ended = True
             transport.close()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.house.buffer
+        return self.owner.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.ended:
@@ -182,7 +182,7 @@
             if self._dropped > MOST_DROPPED:
                 self.cut()
             return
-        data = bytes(self.house.buffer[:nbytes])
+        data = bytes(self.owner.buffer[:nbytes])
         if self.open is not None or self._queue:
             self._kept += data
             if len(self._kept) >= MOST_KEPT and self._transport is not None:
@@ -198,7 +198,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = self._poll = None
         self._leave()
-        self.house.exit(self)
+        self.owner.exit(self)
 
     def _leave(self) -> None:
         """The client has gone: nothing more is begun for it."""
@@ -206,14 +206,14 @@
             self._stop()
         asked, self.open = self.open, None
         if asked is not None:
-            self.house.left(asked)
+            self.owner.left(asked)
 
     def _stop(self) -> None:
         self.ended = True
         self._queue.clear()
         self._kept.clear()
-        self.quiet_from = self.house.clock()
-        self.house.lingers(self)
+        self.quiet_from = self.owner.clock()
+        self.owner.lingers(self)
 
     def look_gone(self) -> bool:
         """Whether the client has closed, asked right before an attempt begins: its end may be in the system
@@ -250,7 +250,7 @@
         self._paused = False
         self._look()
 
-    # What the house calls.
+    # What its owner calls.
 
     @property
     def idle(self) -> bool:
@@ -262,9 +262,9 @@
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
         """The final answer of the RPC that is open."""
-        close = close or self.house.closing
+        close = close or self.owner.closing
         self.open = None
-        self.quiet_from = self.house.clock()
+        self.quiet_from = self.owner.clock()
         if self._transport is None or self.ended:
             return
         self._transport.write(answer(status, body, fields, close))
@@ -273,7 +273,7 @@
             return
         self._look()
         if self.open is None and not self.ended:
-            self.house.rests(self)
+            self.owner.rests(self)
 
     def end(self) -> None:
         """End our side behind what was written, and let the client end its own: a lingering close."""
@@ -309,7 +309,7 @@
     # Its own.
 
     def _feed(self, data: bytes) -> None:
-        reader, now = self._reader, self.house.clock()
+        reader, now = self._reader, self.owner.clock()
         began = reader.within
         reader.feed(data)
         if not began and reader.within:
@@ -341,16 +341,16 @@
             self._looking = False
 
     def _refuse(self, fault: Fault) -> None:
-        self.house.refused += 1
+        self.owner.refused += 1
         self.answer(fault.code, str(fault).encode("latin-1", "replace"), close=True)
 
     def _begin(self, message: Message) -> None:
         self.spoken = True
-        self.house.spoke(self)
+        self.owner.spoke(self)
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200 if self.house.ready else 503, close=closes(message))
+            self.answer(200 if self.owner.ready else 503, close=closes(message))
             return
         try:
-            self.open = self.house.ask(self, message)
+            self.open = self.owner.ask(self, message)
         except Fault as fault:
             self._refuse(fault)
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -232,7 +232,7 @@
         assert isinstance(asked, Asked)
         if asked.over or now >= out.until_ms or self.node.standing is not Standing.LIVE:
             return False
-        if asked.visit is None or asked.visit.look_gone():
+        if asked.client is None or asked.client.look_gone():
             return False
         return self.rounds.module.gate.repeatable(asked, self.node, now, out)
 
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -1,4 +1,4 @@
-"""The platform's dispatcher: visits, links, discovery and rounds, and their life from start to end."""
+"""The platform's dispatcher: clients, links, discovery and rounds, and their life from start to end."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.logs import plain_log
 from cherrygrade.peers.arrivals import Arrivals
-from cherrygrade.platform.clients import Asked, Visit, read_rpc
+from cherrygrade.platform.clients import Asked, ClientConnection, read_rpc
 from cherrygrade.platform.discovery import Follower
 from cherrygrade.platform.listing import Listing
 from cherrygrade.platform.nodes import Link, Sockets
@@ -46,7 +46,7 @@
 
 
 class Platform:
-    """One dispatcher. Links are a node each, visits a client's connection each."""
+    """One dispatcher. Links are a node each, clients a connection each."""
 
     def __init__(
         self,
@@ -69,9 +69,9 @@
         self.refused = self.left_count = 0
         self.finals = {200: 0, 503: 0, 502: 0}
         self.buffer = memoryview(bytearray(BUFFER))
-        self.visits: dict[Visit, None] = {}
-        self.resting: dict[Visit, None] = {}  # of these who has its answer, by when; until it asks or ends
-        self.lingering: dict[Visit, None] = {}  # ended by us, by when; emptied by clients' ends, and in time
+        self.clients: dict[ClientConnection, None] = {}
+        self.resting: dict[ClientConnection, None] = {}  # who has its answer, by when; until it asks
+        self.lingering: dict[ClientConnection, None] = {}  # ended by us, by when; until its end
         self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
         self.links: dict[Node, Link] = {}
         self.nodes = Nodes()
@@ -79,8 +79,8 @@
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         spare = orders.sockets - OWN_SOCKETS
         self.most_lingering = max(4, spare // 16)
-        self.most_visits = spare // 2 - self.most_lingering
-        self.arrivals: Arrivals[Visit] = Arrivals(self.most_visits, self.most_visits // 2)
+        self.most_clients = spare // 2 - self.most_lingering
+        self.arrivals: Arrivals[ClientConnection] = Arrivals(self.most_clients, self.most_clients // 2)
         # What nodes bring and what clients have not taken yet each get a part of the memory.
         self.room = Room(orders.memory_mb * 1024 * 1024 // 4)
         self.sockets = Sockets(spare - spare // 2, self.room)
@@ -106,7 +106,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._sweep()
         self._tell()
-        self._server = await listen(lambda: Visit(self), self.orders.listen, BACKLOG, ABREAST)
+        self._server = await listen(lambda: ClientConnection(self), self.orders.listen, BACKLOG, ABREAST)
         port: int = self._server.sockets[0].getsockname()[1]
         self.log("listening", address=self.orders.listen)
         return port
@@ -150,7 +150,7 @@
             self._end(LEFT_BY_FORCE)
             return
         self.leaving = True
-        self.log("leaving", held=len(self.open), clients=len(self.visits))
+        self.log("leaving", held=len(self.open), clients=len(self.clients))
         # Who comes after this one comes at the platform's time, however soon this one ends: until shortly
         # before it, clients are served on the connections that they have.
         longest = max(workload.deadline_ms for workload in self.workloads.values())
@@ -184,19 +184,19 @@
         """Nobody new comes any more, and who is here goes with the next answer."""
         self.closing = True
         self._close_door()
-        for visit in [*self.visits]:
-            if visit.idle and not (visit.within or visit.unread):
-                visit.end()
+        for client in [*self.clients]:
+            if client.idle and not (client.within or client.unread):
+                client.end()
         self._look_done()
 
     def _look_done(self) -> None:
         loop = asyncio.get_running_loop()
         if self.ended:
-            if not (self.visits or self.lingering or self._server is not None):
+            if not (self.clients or self.lingering or self._server is not None):
                 loop.call_soon(self._finish)
             return
         comes = self._server is not None if self.closing else "knock" in self._timers
-        if self.leaving and not (comes or self.visits or self.open):
+        if self.leaving and not (comes or self.clients or self.open):
             loop.call_soon(self._end, LEFT_CLEAN)
 
     def _end(self, code: int) -> None:
@@ -215,9 +215,9 @@
         self._alarm.close()
         for timer in self._timers.values():
             timer.cancel()
-        for visit in [*self.visits]:
-            if not visit.unread:  # else it is read in the next turn, and told to come back
-                visit.turn_out(503)
+        for client in [*self.clients]:
+            if not client.unread:  # else it is read in the next turn, and told to come back
+                client.turn_out(503)
         self._timers["flush"] = asyncio.get_running_loop().call_later(FLUSH_MS / 1000.0, self._finish)
         self._close_door()
         self._look_done()
@@ -228,8 +228,8 @@
         self._timers["flush"].cancel()
         if self._server is not None:
             self._server.close()
-        for visit in [*self.visits, *self.lingering]:
-            visit.cut()
+        for client in [*self.clients, *self.lingering]:
+            client.cut()
         self._tell()
         self._timers["tell"].cancel()
         self.log("ended", code=self._code)
@@ -242,23 +242,23 @@
     def _sweep(self) -> None:
         """What has been silent for too long goes; nodes that are gone are forgotten."""
         now = self.rounds.clock()
-        crowd = len(self.visits) > self.most_visits * 3 // 4
-        unsent = {visit: visit.unsent for visit in [*self.visits, *self.lingering] if visit.unsent}
+        crowd = len(self.clients) > self.most_clients * 3 // 4
+        unsent = {client: client.unsent for client in [*self.clients, *self.lingering] if client.unsent}
         while sum(unsent.values()) > self.room.most:
             # Answers that wait for clients to take them would be the process's end, and everybody's.
             slowest = max(unsent, key=unsent.__getitem__)
             del unsent[slowest]
             slowest.cut()
-        for visit in [*self.lingering]:
-            if now - visit.quiet_from >= (SILENT_MS if visit.unsent else LINGER_MS):
-                visit.cut()
-        for visit in [*self.visits]:
-            if not visit.idle:
+        for client in [*self.lingering]:
+            if now - client.quiet_from >= (SILENT_MS if client.unsent else LINGER_MS):
+                client.cut()
+        for client in [*self.clients]:
+            if not client.idle:
                 continue
-            quiet = now - visit.quiet_from
-            silent = not visit.spoken or visit.within
-            if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS) and not visit.unread:
-                visit.turn_out()
+            quiet = now - client.quiet_from
+            silent = not client.spoken or client.within
+            if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS) and not client.unread:
+                client.turn_out()
         for link in [*self.links.values()]:
             link.close_idle(now)
         for node in [*self.listing.dials]:
@@ -284,7 +284,7 @@
             errored=self.finals[502],
             left=self.left_count,
             refused=self.refused,
-            clients=len(self.visits),
+            clients=len(self.clients),
             held=len(self.open),
             node_sockets=self.sockets.used,
             nodes=len(self.listing.dials),
@@ -293,60 +293,60 @@
         )
         self._timers["tell"] = asyncio.get_running_loop().call_later(TELL_S, self._tell)
 
-    # What visits call.
+    # What clients' connections call.
 
-    def enter(self, visit: Visit) -> bool:
-        if len(self.visits) >= self.most_visits:  # who has its answer goes before who may be about to ask
+    def enter(self, client: ClientConnection) -> bool:
+        if len(self.clients) >= self.most_clients:  # who has its answer goes before who may be about to ask
             rests = next((one for one in self.resting if not (one.within or one.unread)), None)
             if rests is not None:
                 rests.turn_out()
-        place, goes = self.arrivals.came(visit, len(self.visits))
+        place, goes = self.arrivals.came(client, len(self.clients))
         if goes is not None:
             goes.turn_out()
         if place:
-            self.visits[visit] = None
+            self.clients[client] = None
         return place
 
-    def spoke(self, visit: Visit) -> None:
-        self.arrivals.spoke(visit)
-        self.resting.pop(visit, None)
+    def spoke(self, client: ClientConnection) -> None:
+        self.arrivals.spoke(client)
+        self.resting.pop(client, None)
 
-    def rests(self, visit: Visit) -> None:
-        self.resting.pop(visit, None)
-        self.resting[visit] = None
+    def rests(self, client: ClientConnection) -> None:
+        self.resting.pop(client, None)
+        self.resting[client] = None
 
     def left(self, asked: Asked) -> None:
         self.left_count += 1
         self.open.pop(asked.call, None)
-        asked.visit = None
+        asked.client = None
         self.rounds.leave(asked)
         for out in asked.sends:
             link = self.links.get(out.node)
             if out.outcome is None and link is not None:
                 link.client_left(out)  # type: ignore[arg-type]
 
-    def lingers(self, visit: Visit) -> None:
-        self._out_of_place(visit)
-        self.lingering[visit] = None
+    def lingers(self, client: ClientConnection) -> None:
+        self._out_of_place(client)
+        self.lingering[client] = None
         if len(self.lingering) > self.most_lingering:
             oldest = next(iter(self.lingering))
             del self.lingering[oldest]
             oldest.cut()
 
-    def exit(self, visit: Visit) -> None:
-        self._out_of_place(visit)
-        self.lingering.pop(visit, None)
+    def exit(self, client: ClientConnection) -> None:
+        self._out_of_place(client)
+        self.lingering.pop(client, None)
         self._look_done()
 
-    def _out_of_place(self, visit: Visit) -> None:
-        self.arrivals.spoke(visit)
-        self.resting.pop(visit, None)
-        self.visits.pop(visit, None)
+    def _out_of_place(self, client: ClientConnection) -> None:
+        self.arrivals.spoke(client)
+        self.resting.pop(client, None)
+        self.clients.pop(client, None)
 
     def clock(self) -> float:
         return self.rounds.clock()
 
-    def ask(self, visit: Visit, message: Message) -> Asked:
+    def ask(self, client: ClientConnection, message: Message) -> Asked:
         """To the module; Fault where the message holds no RPC."""
         if self.ended:
             raise Fault(503, "this dispatcher has ended")
@@ -354,7 +354,7 @@
         if asked.call in self.open:
             raise Fault(409, "X-Call-Id: open already")
         asked.give_up_ms = min(asked.give_up_ms, self._ends_at - ANSWER_MS)
-        asked.visit = visit
+        asked.client = client
         self.open[asked.call] = asked
         self.rounds.take(asked)
         return asked
@@ -420,10 +420,10 @@
     def _final(self, asked: Asked, status: int, body: bytes = b"", fields: bytes = b"") -> None:
         """The one final answer."""
         self.open.pop(asked.call, None)
-        visit, asked.visit, asked.body = asked.visit, None, None
+        client, asked.client, asked.body = asked.client, None, None
         self.finals[status] += 1
-        if visit is not None and visit.open is asked:
-            visit.answer(status, body, fields)
+        if client is not None and client.open is asked:
+            client.answer(status, body, fields)
         self._look_done()
 
     def ask_list(self, push: bool) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -46,8 +46,8 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.connect(("127.0.0.1", square.port))
     platform = square.platform
-    await square.until(lambda: platform.visits)
-    theirs = next(iter(platform.visits))._transport.get_extra_info("socket")
+    await square.until(lambda: platform.clients)
+    theirs = next(iter(platform.clients))._transport.get_extra_info("socket")
     theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     return sock
 
@@ -197,12 +197,12 @@
         node.script.append(None)
         client = raw(square, b"".join(ask(X_Budget_Ms="2000") for _ in range(300)))
         await square.until(lambda: node.came)
-        visit = next(iter(platform.visits))
-        await square.until(lambda: not visit._transport.is_reading())
+        connection = next(iter(platform.clients))
+        await square.until(lambda: not connection._transport.is_reading())
         end(client)
         assert len(node.came) == 1
         node._answer(node.peers[0], node.came[0])
-        await square.until(lambda: visit not in platform.visits)
+        await square.until(lambda: connection not in platform.clients)
         await barrier(square)
         assert len(node.came) == 2 and not platform.open
 
@@ -243,14 +243,14 @@
         node.script.extend([answer(200, bytes(900_000)), None])
         client = await narrow(square)
         client.sendall(ask(X_Budget_Ms="2000"))
-        await square.until(lambda: next(iter(platform.visits)).unsent)
-        visit = next(iter(platform.visits))
-        visit._paused = False
+        await square.until(lambda: next(iter(platform.clients)).unsent)
+        connection = next(iter(platform.clients))
+        connection._paused = False
         client.sendall(ask(X_Budget_Ms="2000"))
         await square.until(lambda: platform.open and len(node.came) == 2)
         client.shutdown(socket.SHUT_WR)
         await square.until(lambda: not platform.open)
-        assert visit.unsent and platform.left_count == 1
+        assert connection.unsent and platform.left_count == 1
         client.close()
 
     play(tmp_path, story)
@@ -263,8 +263,8 @@
     async def story(square: Square) -> None:
         platform = await square.start()
         await square.caller()
-        await square.until(lambda: platform.visits)
-        sock = next(iter(platform.visits))._transport.get_extra_info("socket")
+        await square.until(lambda: platform.clients)
+        sock = next(iter(platform.clients))._transport.get_extra_info("socket")
         assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     play(tmp_path, story)
@@ -324,10 +324,10 @@
         caller = await square.caller()
         if idle == "rested":
             assert (await caller.call(ask())).status == 200
-        await square.until(lambda: platform.visits)
+        await square.until(lambda: platform.clients)
         came = len(node.came)
-        for visit in [*platform.visits]:
-            visit.turn_out()
+        for connection in [*platform.clients]:
+            connection.turn_out()
         caller.writer.write(ask())  # our end is on its way
         assert await caller.answer() is None
         await barrier(square)
@@ -351,10 +351,10 @@
             platform.leave()
             platform.leave()
         elif when == "crowd":
-            platform.most_visits = 1
-            platform.enter(clients.Visit(platform))  # somebody fresh in the same turn
+            platform.most_clients = 1
+            platform.enter(clients.ClientConnection(platform))  # somebody fresh in the same turn
         else:
-            next(iter(platform.visits)).quiet_from -= 1e6
+            next(iter(platform.clients)).quiet_from -= 1e6
             platform._sweep()
         got = asyncio.create_task(ends(client))
         if when in ("crowd", "sweep"):
@@ -449,7 +449,7 @@
         node.script.append(answer(200, large))
         client = await narrow(square)
         client.sendall(ask(X_Budget_Ms="2000"))
-        await square.until(lambda: next(iter(platform.visits)).unsent)
+        await square.until(lambda: next(iter(platform.clients)).unsent)
         platform.leave()
         platform.leave()
         await asyncio.sleep(0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -338,8 +338,8 @@
             caller.writer.transport.pause_reading()
             node.script.extend([answer(200, large)] * 8)
             caller.writer.write(b"".join(ask(X_Budget_Ms="2000") for _ in range(8)))
-        await square.until(lambda: len(platform.visits) < 12, ms=4000.0)
-        assert sum(visit.unsent for visit in platform.visits) < 16_000_000
+        await square.until(lambda: len(platform.clients) < 12, ms=4000.0)
+        assert sum(connection.unsent for connection in platform.clients) < 16_000_000
         node.script.clear()
         assert (await (await square.caller()).call(ask())).status == 200
 
@@ -392,7 +392,7 @@
         assert (await worker.call(ask())).status == 200
         half.writer.write(ask()[:-9])
         crowd = [await square.caller() for _ in range(150)]
-        await square.until(lambda: len(platform.visits) <= platform.most_visits)
+        await square.until(lambda: len(platform.clients) <= platform.most_clients)
         began = time.monotonic()
         assert (await worker.call(ask())).status == 200
         assert (await (await square.caller()).call(ask())).status == 200
