--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import time
 
 import pytest
@@ -334,6 +335,10 @@
         platform = await square.start()
         platform.room.most = 4_000_000
         large, slow = bytes(900_000), [await square.caller() for _ in range(12)]
+        await square.until(lambda: len(platform.clients) == 12)
+        for connection in platform.clients:  # so that the system keeps little of the answers
+            sock = connection._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         for caller in slow:
             caller.writer.transport.pause_reading()
             node.script.extend([answer(200, large)] * 8)
