--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -1,4 +1,4 @@
-"""Links to storage nodes: connections that carry one send at a time.
+"""Connections to storage nodes, a pool each; a connection carries one send at a time.
 
 A send that finds no free connection waits for one that is being made or becomes free. Nothing here is sent
 twice, and nothing that has not left leaves any more once its node drains or its RPC is over.
@@ -29,16 +29,16 @@
 REST_MS = 10.0
 
 
-class Line(asyncio.BufferedProtocol):
+class NodeConnection(asyncio.BufferedProtocol):
     """One connection to a node."""
 
-    def __init__(self, link: Link) -> None:
-        self.link = link
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
         self.out: Out | None = None
         self.ready = self.ended = False
         self.quiet_from = 0.0
         self.whole = False  # the last byte of the send is with the system
-        self._reader = Reader(answers=True, room=link.sockets.room)
+        self._reader = Reader(answers=True, room=pool.sockets.room)
         self._transport: asyncio.Transport | None = None
         self._sock: socket.socket | None = None
 
@@ -50,10 +50,10 @@
         if self.ended:
             self.drop()
             return
-        self.link.stands(self)
+        self.pool.stands(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.link.buffer
+        return self.pool.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.ended:
@@ -62,13 +62,13 @@
         if out is None:  # bytes that nobody asked for
             self.drop()
             return
-        reader.feed(bytes(self.link.buffer[:nbytes]))
+        reader.feed(bytes(self.pool.buffer[:nbytes]))
         if reader.found:
             self._take_answer(out)
         elif reader.fault is not None:
             self.out = None
             self.drop()
-            self.link.spoilt(out)
+            self.pool.spoilt(out)
 
     def _take_answer(self, out: Out) -> None:
         reader = self._reader
@@ -80,7 +80,7 @@
         # Where not all of the attempt has left, the rest of it would stand in front of the next one.
         if more or closes(message) or message.framing is not Framing.TOLD or not self.whole:
             self.drop()
-        self.link.answered(self, out, message)
+        self.pool.answered(self, out, message)
 
     def eof_received(self) -> bool:
         """The node's orderly end, which also ends an answer that told no length; a reset never does."""
@@ -101,9 +101,9 @@
         self._transport = None
         self._reader.let_go()
         out, self.out, ended, self.ended = self.out, None, self.ended, True
-        self.link.lost(self)
+        self.pool.lost(self)
         if out is not None and not ended:
-            self.link.ended(out, Outcome.RESET if self.whole else Outcome.UNCONNECTED)
+            self.pool.ended(out, Outcome.RESET if self.whole else Outcome.UNCONNECTED)
 
     def clean(self) -> bool:
         """Nothing came on it since its last answer, not even its end: guards against bytes of before that
@@ -133,16 +133,16 @@
                 except OSError:
                     pass
             self._transport.abort()
-        self.link.lost(self)
+        self.pool.lost(self)
 
 
 class Sockets:
-    """Descriptors that links share: when all are used, the connection idle for longest goes for a new one.
+    """Descriptors that pools share: when all are used, the connection idle for longest goes for a new one.
     Beside them, the room that large answers share."""
 
     def __init__(self, most: int, room: Room) -> None:
         self.most, self.used, self.room = most, 0, room
-        self.idle: dict[Line, None] = {}  # by when they became idle; emptied by use and by ends
+        self.idle: dict[NodeConnection, None] = {}  # by when they became idle; emptied by use and by ends
 
     def take(self) -> bool:
         if self.used >= self.most and self.idle:
@@ -153,8 +153,8 @@
         return True
 
 
-class Link:
-    """All that goes to one node from here. `waiting` is emptied by lines, connects that failed, time-outs."""
+class ConnectionPool:
+    """All that goes to one node from here. `waiting` is emptied by connections, failures, time-outs."""
 
     def __init__(
         self,
@@ -171,8 +171,8 @@
         self.connect_ms, self.idle_ms = connect_ms, idle_ms
         self._dial = dial
         self.waiting: deque[Out] = deque()
-        self.lines: dict[Line, None] = {}
-        self.free: list[Line] = []  # the one used last stands last
+        self.connections: dict[NodeConnection, None] = {}
+        self.free: list[NodeConnection] = []  # the one used last stands last
         self.making = self.made = 0
         self.shaken = False  # the last connect was reset as it came up
         self._tasks: set[asyncio.Task[None]] = set()
@@ -185,39 +185,39 @@
     def pump(self) -> None:
         now = self.rounds.clock()
         while self.waiting and self.free:
-            line = self._rested(now)
-            if line is None:
+            connection = self._rested(now)
+            if connection is None:
                 break
-            self.free.remove(line)
-            self.sockets.idle.pop(line, None)
-            if not line.clean():
-                line.drop()
+            self.free.remove(connection)
+            self.sockets.idle.pop(connection, None)
+            if not connection.clean():
+                connection.drop()
                 continue
             while self.waiting:
                 out = self.waiting.popleft()
                 if self._may_begin(out):
-                    self._begin(line, out)
+                    self._begin(connection, out)
                     break
                 self.ended(out, Outcome.UNSENT)
             else:
-                self.free.append(line)
-                self.sockets.idle[line] = None
+                self.free.append(connection)
+                self.sockets.idle[connection] = None
         # One that rests is there sooner than one that has yet to be made.
         while len(self.waiting) > self.making + len(self.free) and self.sockets.take():
-            line = Line(self)
-            self.lines[line] = None
+            connection = NodeConnection(self)
+            self.connections[connection] = None
             self.making += 1
-            task = asyncio.get_running_loop().create_task(self._connect(line))
+            task = asyncio.get_running_loop().create_task(self._connect(connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _rested(self, now: float) -> Line | None:
+    def _rested(self, now: float) -> NodeConnection | None:
         """The one used last of those that rested; None where all rest still: it is looked again in time."""
-        for line in reversed(self.free):
-            if now - line.quiet_from >= REST_MS:
-                return line
+        for connection in reversed(self.free):
+            if now - connection.quiet_from >= REST_MS:
+                return connection
         if self._rest is None:
-            soonest = min(line.quiet_from for line in self.free) + REST_MS
+            soonest = min(connection.quiet_from for connection in self.free) + REST_MS
             self._rest = asyncio.get_running_loop().call_later((soonest - now) / 1000.0, self._rest_over)
         return None
 
@@ -236,7 +236,7 @@
             return False
         return self.rounds.module.gate.repeatable(asked, self.node, now, out)
 
-    def _begin(self, line: Line, out: Out) -> None:
+    def _begin(self, connection: NodeConnection, out: Out) -> None:
         asked = out.rpc
         assert isinstance(asked, Asked) and asked.workload is not None and asked.plan is not None
         host, port = self._dial(self.node)
@@ -249,56 +249,56 @@
             *asked.fields,
         )
         body = bytes(asked.body) if asked.writes and asked.body else b""
-        line.begin(out, ask(asked.method, asked.target, f"{host}:{port}".encode(), fields, body))
+        connection.begin(out, ask(asked.method, asked.target, f"{host}:{port}".encode(), fields, body))
 
-    async def _connect(self, line: Line) -> None:
+    async def _connect(self, connection: NodeConnection) -> None:
         loop = asyncio.get_running_loop()
         try:
             host, port = self._dial(self.node)
             async with asyncio.timeout(self.connect_ms / 1000.0):
-                await loop.create_connection(lambda: line, host, port)
+                await loop.create_connection(lambda: connection, host, port)
         except (OSError, KeyError) as trouble:  # TimeoutError is an OSError
-            if line.ready:
+            if connection.ready:
                 return  # it came up in the turn of its time-out, and ends with what was begun on it
-            line.ended = True
-            self.lost(line)
+            connection.ended = True
+            self.lost(connection)
             shaken, self.shaken = self.shaken, isinstance(trouble, ConnectionResetError)
             if self.shaken and not shaken:
                 return  # one that is reset as it comes up is its own trouble, two in a row are the node's
             # The node is not there: what waits for a connection never left. With others that stand, it was
             # this one's trouble.
-            alive = any(one.ready for one in self.lines)
+            alive = any(one.ready for one in self.connections)
             while len(self.waiting) > (self.making if alive else 0):
                 self.ended(self.waiting.popleft(), Outcome.UNCONNECTED)
                 if alive or isinstance(trouble, TimeoutError):
                     break
 
-    def stands(self, line: Line) -> None:
-        line.ready, self.shaken = True, False
+    def stands(self, connection: NodeConnection) -> None:
+        connection.ready, self.shaken = True, False
         self.making -= 1
         self.made += 1
-        self._give(line, self.rounds.clock() - REST_MS)  # nothing was asked on it yet
+        self._give(connection, self.rounds.clock() - REST_MS)  # nothing was asked on it yet
 
-    def _give(self, line: Line, quiet_from: float) -> None:
-        line.quiet_from = quiet_from
-        self.free.append(line)
-        self.sockets.idle[line] = None
+    def _give(self, connection: NodeConnection, quiet_from: float) -> None:
+        connection.quiet_from = quiet_from
+        self.free.append(connection)
+        self.sockets.idle[connection] = None
         self.pump()
 
-    def lost(self, line: Line) -> None:
-        if line not in self.lines:
+    def lost(self, connection: NodeConnection) -> None:
+        if connection not in self.connections:
             return
-        del self.lines[line]
+        del self.connections[connection]
         self.sockets.used -= 1
-        self.sockets.idle.pop(line, None)
-        if not line.ready:
+        self.sockets.idle.pop(connection, None)
+        if not connection.ready:
             self.making -= 1
-        if line in self.free:
-            self.free.remove(line)
+        if connection in self.free:
+            self.free.remove(connection)
         if self.waiting:  # not from within the loop that lets go
             asyncio.get_running_loop().call_soon(self.pump)
 
-    def answered(self, line: Line, out: Out, message: Message) -> None:
+    def answered(self, connection: NodeConnection, out: Out, message: Message) -> None:
         fields = message.fields
         if message.status == 200 and message.framing is not Framing.NONE:
             outcome = Outcome.OK
@@ -308,8 +308,8 @@
             outcome = Outcome.ERRORED
         self._report(out, fields)
         self.ended(out, outcome, message.body)
-        if not line.ended:
-            self._give(line, self.rounds.clock())
+        if not connection.ended:
+            self._give(connection, self.rounds.clock())
 
     def _report(self, out: Out, fields: dict[bytes, bytes]) -> None:
         """What cannot be read tells nothing."""
@@ -338,14 +338,14 @@
         """No answer is waited for any more: its connection closes before anything else is written."""
         if out.outcome is not None:
             return
-        line = out.exchange
-        if line is None:
+        connection = out.exchange
+        if connection is None:
             if out in self.waiting:
                 self.waiting.remove(out)
             self.ended(out, Outcome.UNSENT)
             return
-        line.out = None
-        line.drop()
+        connection.out = None
+        connection.drop()
         self.ended(out, outcome)
 
     def client_left(self, out: Out) -> None:
@@ -363,12 +363,12 @@
     @property
     def quiet(self) -> bool:
         """Nothing is out or waits."""
-        return not self.waiting and all(line.out is None for line in self.lines)
+        return not self.waiting and all(connection.out is None for connection in self.connections)
 
     def close_idle(self, now: float) -> None:
         gone = self.node.standing is Standing.GONE
-        for line in [line for line in self.free if gone or now - line.quiet_from >= self.idle_ms]:
-            line.drop()
+        for connection in [one for one in self.free if gone or now - one.quiet_from >= self.idle_ms]:
+            connection.drop()
 
     def close(self) -> None:
         if self._rest is not None:
@@ -378,5 +378,5 @@
         waiting, self.waiting = self.waiting, deque()
         for out in waiting:
             self.ended(out, Outcome.UNSENT)
-        for line in [*self.lines]:
-            line.drop()
+        for connection in [*self.connections]:
+            connection.drop()
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -1,4 +1,4 @@
-"""The platform's dispatcher: clients, links, discovery and rounds, and their life from start to end."""
+"""The platform's dispatcher: clients, pools, discovery and rounds, and their life from start to end."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from cherrygrade.platform.clients import Asked, ClientConnection, read_rpc
 from cherrygrade.platform.discovery import Follower
 from cherrygrade.platform.listing import Listing
-from cherrygrade.platform.nodes import Link, Sockets
+from cherrygrade.platform.nodes import ConnectionPool, Sockets
 from cherrygrade.platform.orders import Orders, OrdersError, read_orders
 from cherrygrade.platform.watching import BLIND_MS, READY_MS
 from cherrygrade.policy import Dispatcher
@@ -46,7 +46,7 @@
 
 
 class Platform:
-    """One dispatcher. Links are a node each, clients a connection each."""
+    """One dispatcher. Pools are a node each, clients a connection each."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         self.resting: dict[ClientConnection, None] = {}  # who has its answer, by when; until it asks
         self.lingering: dict[ClientConnection, None] = {}  # ended by us, by when; until its end
         self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
-        self.links: dict[Node, Link] = {}
+        self.pools: dict[Node, ConnectionPool] = {}
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel(GRAIN_MS)
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
@@ -206,8 +206,8 @@
         self.ended = self.closing = True
         self._code = code
         self.rounds.end()
-        for link in self.links.values():
-            link.close()
+        for pool in self.pools.values():
+            pool.close()
         gate, whole = self.rounds.module.gate, code != LEFT_BROKEN  # a broken module's word is not taken
         for asked in [*self.open.values()]:
             self._final(asked, 503 if whole and gate.may_reject(asked) else 502)
@@ -259,20 +259,20 @@
             silent = not client.spoken or client.within
             if quiet >= (SILENT_MS if silent else SHORT_MS if crowd else LONG_MS) and not client.unread:
                 client.turn_out()
-        for link in [*self.links.values()]:
-            link.close_idle(now)
+        for pool in [*self.pools.values()]:
+            pool.close_idle(now)
         for node in [*self.listing.dials]:
             if node.standing is Standing.GONE:
                 self._forget(node)
         self._timers["sweep"] = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
     def _forget(self, node: Node) -> None:
-        link = self.links.get(node)
-        if link is not None and not link.quiet:
+        pool = self.pools.get(node)
+        if pool is not None and not pool.quiet:
             return
-        if link is not None:
-            del self.links[node]
-            link.close()
+        if pool is not None:
+            del self.pools[node]
+            pool.close()
         self.listing.forget(node)
 
     def _tell(self) -> None:
@@ -289,7 +289,7 @@
             node_sockets=self.sockets.used,
             nodes=len(self.listing.dials),
             version=self.listing.version,
-            connects=sum(link.made for link in self.links.values()),
+            connects=sum(pool.made for pool in self.pools.values()),
         )
         self._timers["tell"] = asyncio.get_running_loop().call_later(TELL_S, self._tell)
 
@@ -321,9 +321,9 @@
         asked.client = None
         self.rounds.leave(asked)
         for out in asked.sends:
-            link = self.links.get(out.node)
-            if out.outcome is None and link is not None:
-                link.client_left(out)  # type: ignore[arg-type]
+            pool = self.pools.get(out.node)
+            if out.outcome is None and pool is not None:
+                pool.client_left(out)  # type: ignore[arg-type]
 
     def lingers(self, client: ClientConnection) -> None:
         self._out_of_place(client)
@@ -368,9 +368,9 @@
                 self._timers.pop(name).cancel()
             self.log("sighted", nodes=len(self.listing.dials), version=self.listing.version)
         for node in nodes:
-            link = self.links.get(node)
-            if link is not None:
-                link.standing_heard()
+            pool = self.pools.get(node)
+            if pool is not None:
+                pool.standing_heard()
         self.rounds.inbox.heard += nodes
         self.rounds.stir()
 
@@ -378,13 +378,13 @@
 
     def before_round(self, now: float) -> None:
         for out in self.wheel.due(now):
-            self.links[out.node].give_up(out, Outcome.TIMED_OUT)
+            self.pools[out.node].give_up(out, Outcome.TIMED_OUT)
 
     def carry(self, out: Out, limit_ms: float) -> None:
         node = out.node
-        link = self.links.get(node)
-        if link is None:
-            link = self.links[node] = Link(
+        pool = self.pools.get(node)
+        if pool is None:
+            pool = self.pools[node] = ConnectionPool(
                 node,
                 self.listing.dials.__getitem__,
                 self.rounds,
@@ -396,13 +396,13 @@
             )
         out.until_ms = min(out.rpc.give_up_ms, out.sent_ms + limit_ms)
         out.slot = self.wheel.put(out, out.until_ms)
-        link.carry(out)
+        pool.carry(out)
         self._alarm.set()
 
     def withdraw(self, out: Out) -> None:
-        link = self.links.get(out.node)
-        if link is not None:
-            link.give_up(out, Outcome.CANCELLED)
+        pool = self.pools.get(out.node)
+        if pool is not None:
+            pool.give_up(out, Outcome.CANCELLED)
 
     def answer_ok(self, held: Held, out: Out) -> None:
         assert isinstance(held, Asked)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -101,10 +101,10 @@
         node = await square.node()
         platform = await square.start()
         await barrier(square)
-        link = next(iter(platform.links.values()))
+        pool = next(iter(platform.pools.values()))
         for gone in range(1, 6):
-            await square.until(lambda: link.free)
-            link.free[0].quiet_from = 0.0  # a connection stands ready, so that nothing has to wait
+            await square.until(lambda: pool.free)
+            pool.free[0].quiet_from = 0.0  # a connection stands ready, so that nothing has to wait
             end(raw(square, ask()))
             await square.until(lambda count=gone: platform.left_count == count)
         await barrier(square)
@@ -129,10 +129,10 @@
         platform = await square.start()
         free = hold_connects(square)
         client = raw(square, ask())
-        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        await square.until(lambda: any(pool.waiting for pool in platform.pools.values()))
         client.close()
         await square.until(lambda: not platform.open)
-        assert not any(link.waiting for link in platform.links.values())  # and its slot is free at once
+        assert not any(pool.waiting for pool in platform.pools.values())  # and its slot is free at once
         free.set()
         await barrier(square)
         assert len(node.came) == 1
@@ -144,17 +144,17 @@
     async def story(square: Square) -> None:
         node = await square.node()
         platform = await square.start()
-        client, real = raw(square, ask()), nodes.Link.stands
+        client, real = raw(square, ask()), nodes.ConnectionPool.stands
 
-        def stands(link, line):
+        def stands(pool, line):
             client.close()  # in the system, and not read
-            real(link, line)
+            real(pool, line)
 
-        nodes.Link.stands = stands
+        nodes.ConnectionPool.stands = stands
         try:
             await square.until(lambda: platform.left_count)
         finally:
-            nodes.Link.stands = real
+            nodes.ConnectionPool.stands = real
         await barrier(square)
         assert len(node.came) == 1
 
@@ -167,21 +167,21 @@
         platform = await square.start()
         callers = [await square.caller() for _ in range(2)]
         await asyncio.gather(*[caller.call(ask()) for caller in callers])
-        link = next(iter(platform.links.values()))
-        assert len(link.free) == 2  # one to be cut, one for the further attempt
-        link.free[0].quiet_from = link.free[1].quiet_from = 0.0
+        pool = next(iter(platform.pools.values()))
+        assert len(pool.free) == 2  # one to be cut, one for the further attempt
+        pool.free[0].quiet_from = pool.free[1].quiet_from = 0.0
         node.script.append(False)  # its connection is cut, and the read may go again
-        client, answered = raw(square, ask()), nodes.Link.ended
+        client, answered = raw(square, ask()), nodes.ConnectionPool.ended
 
-        def ended(link, out, outcome, body=None):
+        def ended(pool, out, outcome, body=None):
             client.close()
-            answered(link, out, outcome, body)
+            answered(pool, out, outcome, body)
 
-        nodes.Link.ended = ended
+        nodes.ConnectionPool.ended = ended
         try:
             await square.until(lambda: platform.left_count)
         finally:
-            nodes.Link.ended = answered
+            nodes.ConnectionPool.ended = answered
         await barrier(square)
         assert len(node.came) == 4
 
@@ -568,10 +568,10 @@
         node.script.append(answer(200, b"mine"))
         caller = await square.caller()
         assert (await caller.call(ask())).body == b"mine"
-        link = next(iter(platform.links.values()))
-        link.free[0].quiet_from = platform.rounds.clock() + 40.0  # as though it had come just now, all along
+        pool = next(iter(platform.pools.values()))
+        pool.free[0].quiet_from = platform.rounds.clock() + 40.0  # as though it had come just now, all along
         caller.writer.write(ask())
-        await square.until(lambda: link.waiting)
+        await square.until(lambda: pool.waiting)
         node.peers[0].write(answer(200, b"somebody else's"))
         assert (await caller.answer()).body == b"of " + TARGET
         assert node.made == 2 and len(node.came) == 2
@@ -593,7 +593,7 @@
         sent = platform.rounds.clock()
         free = hold_connects(square)
         node.peers[0].cut()
-        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        await square.until(lambda: any(pool.waiting for pool in platform.pools.values()))
         assert platform.rounds.clock() < sent + 350.0
         await asyncio.sleep(0.45)
         free.set()  # decided within the window, there to leave behind it
@@ -609,7 +609,7 @@
         platform = await square.start(Watched)
         caller, free = await square.caller(), hold_connects(square)
         client = asyncio.create_task(caller.call(ask()))
-        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        await square.until(lambda: any(pool.waiting for pool in platform.pools.values()))
         met = next(iter(platform.listing.dials))
         met.standing = Standing.DRAINING  # told, and nobody has looked through what waits yet
         free.set()
@@ -639,7 +639,7 @@
         asked = loop.time()
         assert (await caller.call(ask(X_Budget_Ms="2000"))).status == 200
         assert loop.time() - asked < 1.0 and platform.rounds.module.told == [Outcome.RESET, Outcome.OK]
-        assert sum(link.making for link in platform.links.values()) == 0
+        assert sum(pool.making for pool in platform.pools.values()) == 0
         assert platform.sockets.used == len(node.peers) or len(node.peers) == 2
 
     play(tmp_path, story)
@@ -648,7 +648,7 @@
 @pytest.fixture
 def narrow_ways(monkeypatch):
     """Little of a request to a node is with the system, and the first connection is not read."""
-    line_made, peer_made = nodes.Line.connection_made, web.Peer.connection_made
+    line_made, peer_made = nodes.NodeConnection.connection_made, web.Peer.connection_made
 
     def narrow_line(line, transport):
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -659,7 +659,7 @@
         if isinstance(peer.owner, web.WebNode) and peer.owner.made == 1:
             transport.pause_reading()
 
-    monkeypatch.setattr(nodes.Line, "connection_made", narrow_line)
+    monkeypatch.setattr(nodes.NodeConnection, "connection_made", narrow_line)
     monkeypatch.setattr(web.Peer, "connection_made", deaf_at_first)
 
 
@@ -669,7 +669,7 @@
         platform = await square.start()
         node._server.sockets[0]._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client = raw(square, ask(method="PUT", body=bytes(65536)))
-        await square.until(lambda: any(line.out for k in platform.links.values() for line in k.lines))
+        await square.until(lambda: any(line.out for k in platform.pools.values() for line in k.connections))
         client.close()
         await square.until(lambda: not platform.open)
         node.peers[0].transport.resume_reading()
@@ -687,8 +687,8 @@
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         caller = await square.caller()
         write = asyncio.create_task(caller.call(ask(method="PUT", body=bytes(65536))))
-        await square.until(lambda: any(line.out for k in platform.links.values() for line in k.lines))
-        line = next(line for k in platform.links.values() for line in k.lines)
+        await square.until(lambda: any(line.out for k in platform.pools.values() for line in k.connections))
+        line = next(line for k in platform.pools.values() for line in k.connections)
         assert not line.whole
         node.peers[0].write(answer(503, fields=b"X-Rejected: 1\r\n"))
         assert (await write).status == 200  # turned away unread, so it went again
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -48,7 +48,7 @@
         assert first.fields[b"x-call-id"] == b"00000000000000ab"
         assert 900 < int(first.fields[b"x-budget-ms"]) <= 1000
         assert (second.method, second.body) == (b"PUT", b"\x00\xff" * 30000)
-        assert square.platform.links and not square.platform.open
+        assert square.platform.pools and not square.platform.open
 
     play(tmp_path, story)
 
@@ -271,15 +271,15 @@
         one, two = await square.caller(), await square.caller()
         both = [asyncio.create_task(caller.call(ask())) for caller in (one, two)]
         assert [answered.status for answered in await asyncio.gather(*both)] == [200, 200] and node.made == 2
-        link = next(iter(platform.links.values()))
+        pool = next(iter(platform.pools.values()))
         await asyncio.sleep(0.01)
-        older, newer = link.free
+        older, newer = pool.free
         now = platform.rounds.clock()
-        assert link._rested(now) is newer
+        assert pool._rested(now) is newer
         newer.quiet_from = now
-        assert link._rested(now) is older
+        assert pool._rested(now) is older
         older.quiet_from = now
-        assert link._rested(now) is None  # and is looked at again in time
+        assert pool._rested(now) is None  # and is looked at again in time
         assert (await one.call(ask())).status == 200 and node.made == 2
 
     play(tmp_path, story)
@@ -417,7 +417,7 @@
         platform.sockets.most = 0  # none can be made
         caller = await square.caller()
         caller.writer.write(ask())
-        await square.until(lambda: any(link.waiting for link in platform.links.values()))
+        await square.until(lambda: any(pool.waiting for pool in platform.pools.values()))
         square.discovery.tell(node.entry("terminating"))
         await square.until(lambda: Outcome.UNSENT in platform.rounds.module.told)
         platform.sockets.most = 9
@@ -443,7 +443,7 @@
         await square.until(lambda: not platform.rounds.module.lanes[met].strikes)
         assert (await caller.call(ask())).status == 200
         square.discovery.tell(node.entry("terminated"))
-        await square.until(lambda: not platform.listing.dials and not platform.links)
+        await square.until(lambda: not platform.listing.dials and not platform.pools)
         assert not platform.nodes.by_address
         square.discovery.tell(node.entry())
         await square.until(lambda: platform.listing.dials)
