--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Asked(Held):
+class PendingRequest(Held):
     """A client's RPC, with what of its message passes on."""
 
     client: ClientConnection | None = None
@@ -54,7 +54,7 @@
 
 def read_rpc(
     message: Message, workloads: dict[str, Workload], plans: dict[str, Plan], now: float, margin_ms: float
-) -> Asked:
+) -> PendingRequest:
     """The RPC that a client's message holds; Fault where it holds none. `now`: when its last byte came."""
     fields = message.fields
     target = TARGET.fullmatch(message.target)
@@ -84,7 +84,7 @@
     if not (UNITS.fullmatch(units) and SHARD.fullmatch(shard) and HOSTS.fullmatch(hosts)) or not float(units):
         raise Fault(400, "X-Extent: units, shard and hosts wanted")
     left = min(float(budget), workload.deadline_ms)
-    return Asked(
+    return PendingRequest(
         workload=workload,
         plan=plan,
         volume=target[1].decode(),
@@ -131,7 +131,7 @@
     def rests(self, client: ClientConnection) -> None:
         """Nothing of it is open any more."""
 
-    def left(self, asked: Asked) -> None:
+    def left(self, pending: PendingRequest) -> None:
         """Its client does not wait for the answer any more."""
 
     def lingers(self, client: ClientConnection) -> None:
@@ -139,7 +139,7 @@
 
     def exit(self, client: ClientConnection) -> None: ...
 
-    def ask(self, client: ClientConnection, message: Message) -> Asked:
+    def ask(self, client: ClientConnection, message: Message) -> PendingRequest:
         """To the module; Fault where the message holds no RPC."""
 
 
@@ -148,7 +148,7 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
-        self.open: Asked | None = None
+        self.open: PendingRequest | None = None
         self.spoken = False
         """It has asked something whole."""
         self.quiet_from = owner.clock()
@@ -204,9 +204,9 @@
         """The client has gone: nothing more is begun for it."""
         if not self.ended:
             self._stop()
-        asked, self.open = self.open, None
-        if asked is not None:
-            self.owner.left(asked)
+        pending, self.open = self.open, None
+        if pending is not None:
+            self.owner.left(pending)
 
     def _stop(self) -> None:
         self.ended = True
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -20,7 +20,7 @@
 from cherrygrade.http.reader import Framing, Message, Reader, Room, closes
 from cherrygrade.http.writer import ask
 from cherrygrade.interface import Node, Outcome, Standing
-from cherrygrade.platform.clients import Asked
+from cherrygrade.platform.clients import PendingRequest
 
 NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 NAME = re.compile(rb"[a-z_0-9]{1,32}")
@@ -228,28 +228,29 @@
     def _may_begin(self, out: Out) -> bool:
         """Looked at as the bytes leave: since it was decided its client may have gone, its node been told to
         drain, its time or the window for repeats been over."""
-        asked, now = out.rpc, self.rounds.clock()
-        assert isinstance(asked, Asked)
-        if asked.over or now >= out.until_ms or self.node.standing is not Standing.LIVE:
+        pending, now = out.rpc, self.rounds.clock()
+        assert isinstance(pending, PendingRequest)
+        if pending.over or now >= out.until_ms or self.node.standing is not Standing.LIVE:
             return False
-        if asked.client is None or asked.client.look_gone():
+        if pending.client is None or pending.client.look_gone():
             return False
-        return self.rounds.module.gate.repeatable(asked, self.node, now, out)
+        return self.rounds.module.gate.repeatable(pending, self.node, now, out)
 
     def _begin(self, connection: NodeConnection, out: Out) -> None:
-        asked = out.rpc
-        assert isinstance(asked, Asked) and asked.workload is not None and asked.plan is not None
+        pending = out.rpc
+        assert isinstance(pending, PendingRequest)
+        assert pending.workload is not None and pending.plan is not None
         host, port = self._dial(self.node)
         left = math.floor(out.until_ms - self.rounds.clock())
         fields = (
-            (b"X-Call-Id", asked.call),
-            (b"X-Call-Class", asked.workload.name.encode("latin-1")),
-            (b"X-Storage-Class", asked.plan.name.encode("latin-1")),
+            (b"X-Call-Id", pending.call),
+            (b"X-Call-Class", pending.workload.name.encode("latin-1")),
+            (b"X-Storage-Class", pending.plan.name.encode("latin-1")),
             (b"X-Budget-Ms", b"%d" % max(1, left)),
-            *asked.fields,
+            *pending.fields,
         )
-        body = bytes(asked.body) if asked.writes and asked.body else b""
-        connection.begin(out, ask(asked.method, asked.target, f"{host}:{port}".encode(), fields, body))
+        body = bytes(pending.body) if pending.writes and pending.body else b""
+        connection.begin(out, ask(pending.method, pending.target, f"{host}:{port}".encode(), fields, body))
 
     async def _connect(self, connection: NodeConnection) -> None:
         loop = asyncio.get_running_loop()
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -20,7 +20,7 @@
 from cherrygrade.interface import Node, Outcome, Standing
 from cherrygrade.logs import plain_log
 from cherrygrade.peers.arrivals import Arrivals
-from cherrygrade.platform.clients import Asked, ClientConnection, read_rpc
+from cherrygrade.platform.clients import ClientConnection, PendingRequest, read_rpc
 from cherrygrade.platform.discovery import Follower
 from cherrygrade.platform.listing import Listing
 from cherrygrade.platform.nodes import ConnectionPool, Sockets
@@ -72,7 +72,7 @@
         self.clients: dict[ClientConnection, None] = {}
         self.resting: dict[ClientConnection, None] = {}  # who has its answer, by when; until it asks
         self.lingering: dict[ClientConnection, None] = {}  # ended by us, by when; until its end
-        self.open: dict[bytes, Asked] = {}  # by call id; emptied by final answers and leavings
+        self.open: dict[bytes, PendingRequest] = {}  # by call id; emptied by final answers and leavings
         self.pools: dict[Node, ConnectionPool] = {}
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel(GRAIN_MS)
@@ -209,8 +209,8 @@
         for pool in self.pools.values():
             pool.close()
         gate, whole = self.rounds.module.gate, code != LEFT_BROKEN  # a broken module's word is not taken
-        for asked in [*self.open.values()]:
-            self._final(asked, 503 if whole and gate.may_reject(asked) else 502)
+        for pending in [*self.open.values()]:
+            self._final(pending, 503 if whole and gate.may_reject(pending) else 502)
         self.follower.close()
         self._alarm.close()
         for timer in self._timers.values():
@@ -315,12 +315,12 @@
         self.resting.pop(client, None)
         self.resting[client] = None
 
-    def left(self, asked: Asked) -> None:
+    def left(self, pending: PendingRequest) -> None:
         self.left_count += 1
-        self.open.pop(asked.call, None)
-        asked.client = None
-        self.rounds.leave(asked)
-        for out in asked.sends:
+        self.open.pop(pending.call, None)
+        pending.client = None
+        self.rounds.leave(pending)
+        for out in pending.sends:
             pool = self.pools.get(out.node)
             if out.outcome is None and pool is not None:
                 pool.client_left(out)  # type: ignore[arg-type]
@@ -346,18 +346,18 @@
     def clock(self) -> float:
         return self.rounds.clock()
 
-    def ask(self, client: ClientConnection, message: Message) -> Asked:
+    def ask(self, client: ClientConnection, message: Message) -> PendingRequest:
         """To the module; Fault where the message holds no RPC."""
         if self.ended:
             raise Fault(503, "this dispatcher has ended")
-        asked = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
-        if asked.call in self.open:
+        pending = read_rpc(message, self.workloads, self.plans, message.begun, ANSWER_MS)
+        if pending.call in self.open:
             raise Fault(409, "X-Call-Id: open already")
-        asked.give_up_ms = min(asked.give_up_ms, self._ends_at - ANSWER_MS)
-        asked.client = client
-        self.open[asked.call] = asked
-        self.rounds.take(asked)
-        return asked
+        pending.give_up_ms = min(pending.give_up_ms, self._ends_at - ANSWER_MS)
+        pending.client = client
+        self.open[pending.call] = pending
+        self.rounds.take(pending)
+        return pending
 
     # What discovery calls.
 
@@ -405,24 +405,24 @@
             pool.give_up(out, Outcome.CANCELLED)
 
     def answer_ok(self, held: Held, out: Out) -> None:
-        assert isinstance(held, Asked)
+        assert isinstance(held, PendingRequest)
         self._final(held, 200, bytes(held.body or b""))
 
     def answer_rejected(self, held: Held, come_back_ms: float) -> None:
-        assert isinstance(held, Asked)
+        assert isinstance(held, PendingRequest)
         fields = b"Retry-After: %.3f\r\n" % (come_back_ms / 1000.0) if come_back_ms > 0.0 else b""
         self._final(held, 503, fields=fields)
 
     def answer_errored(self, held: Held) -> None:
-        assert isinstance(held, Asked)
+        assert isinstance(held, PendingRequest)
         self._final(held, 502)
 
-    def _final(self, asked: Asked, status: int, body: bytes = b"", fields: bytes = b"") -> None:
+    def _final(self, pending: PendingRequest, status: int, body: bytes = b"", fields: bytes = b"") -> None:
         """The one final answer."""
-        self.open.pop(asked.call, None)
-        client, asked.client, asked.body = asked.client, None, None
+        self.open.pop(pending.call, None)
+        client, pending.client, pending.body = pending.client, None, None
         self.finals[status] += 1
-        if client is not None and client.open is asked:
+        if client is not None and client.open is pending:
             client.answer(status, body, fields)
         self._look_done()
 
