--- a/cherrygrade/platform/orders.py
+++ b/cherrygrade/platform/config.py
@@ -14,12 +14,12 @@
 from cherrygrade.start import StartPairs
 
 
-class OrdersError(Exception):
+class ConfigError(Exception):
     """Names the key that is wrong."""
 
 
 @dataclass(frozen=True, slots=True)
-class Orders:
+class Config:
     name: str
     listen: str
     discovery: str
@@ -35,29 +35,29 @@
     return json.dumps(value, default=str)[:80]
 
 
-def read_orders(env: Mapping[str, str]) -> Orders:
+def read_config(env: Mapping[str, str]) -> Config:
     file = env.get("BALANCER_CONFIG", "")
     if not file:
-        raise OrdersError("BALANCER_CONFIG: not set; it names the configuration file")
+        raise ConfigError("BALANCER_CONFIG: not set; it names the configuration file")
     try:
         told = json.loads(Path(file).read_bytes())
     except OSError as trouble:
-        raise OrdersError(f"BALANCER_CONFIG: {file}: {trouble.strerror}") from None
+        raise ConfigError(f"BALANCER_CONFIG: {file}: {trouble.strerror}") from None
     except ValueError as trouble:
-        raise OrdersError(f"BALANCER_CONFIG: {file} is no JSON: {trouble}") from None
+        raise ConfigError(f"BALANCER_CONFIG: {file} is no JSON: {trouble}") from None
     if not isinstance(told, dict):
-        raise OrdersError(f"BALANCER_CONFIG: {file} holds no object")
+        raise ConfigError(f"BALANCER_CONFIG: {file} holds no object")
 
     def text(key: str, variable: str) -> str:
         value = told.get(key, env.get(variable, ""))
         if not isinstance(value, str) or not value:
-            raise OrdersError(f"{key}: text wanted, here or in {variable}, not {_seen(value)}")
+            raise ConfigError(f"{key}: text wanted, here or in {variable}, not {_seen(value)}")
         return value
 
     def table(key: str, within: dict[str, Any], default: Any = None) -> dict[str, Any]:
         value = within.get(key, default)
         if not isinstance(value, dict):
-            raise OrdersError(f"{key}: an object wanted, not {_seen(value)}")
+            raise ConfigError(f"{key}: an object wanted, not {_seen(value)}")
         return value
 
     listen, discovery = text("listen", "BALANCER_LISTEN"), text("discovery", "BALANCER_DISCOVERY")
@@ -65,32 +65,32 @@
         try:
             place(value)
         except ValueError as trouble:
-            raise OrdersError(f"{key}: {trouble}") from None
+            raise ConfigError(f"{key}: {trouble}") from None
     seed = told.get("seed", "0")
     try:
         number = int(seed, 16)
     except (TypeError, ValueError):
-        raise OrdersError(f"seed: a hexadecimal number wanted, not {_seen(seed)}") from None
+        raise ConfigError(f"seed: a hexadecimal number wanted, not {_seen(seed)}") from None
     limits = table("limits", told, {})
     sockets, memory_mb = limits.get("sockets", 1024), limits.get("memory_mb", 192)
     for key, value, least in (("sockets", sockets, 64), ("memory_mb", memory_mb, 24)):
         if not isinstance(value, int) or isinstance(value, bool) or value < least:
-            raise OrdersError(f"limits.{key}: a whole number from {least} on wanted, not {_seen(value)}")
+            raise ConfigError(f"limits.{key}: a whole number from {least} on wanted, not {_seen(value)}")
     pairs = StartPairs.nested(table("settings", told))
     try:
         if not pairs.workloads():
-            raise OrdersError("settings.classes: a list of one class or more wanted, not []")
+            raise ConfigError("settings.classes: a list of one class or more wanted, not []")
         if not pairs.plans():
-            raise OrdersError("settings.grades: a list of one plan or more wanted, not []")
+            raise ConfigError("settings.grades: a list of one plan or more wanted, not []")
         pairs.dispatcher(Dispatcher, number)
     except ValueError as trouble:
-        raise OrdersError(f"settings.{trouble}") from None
+        raise ConfigError(f"settings.{trouble}") from None
     known = table("known", told, {"seq": -1, "whole": True, "hosts": []})
     try:
         Listing(Nodes(), float).hear(known)
     except ValueError as trouble:
-        raise OrdersError(f"known: {trouble}") from None
-    return Orders(
+        raise ConfigError(f"known: {trouble}") from None
+    return Config(
         name=text("name", "BALANCER_NAME"),
         listen=listen,
         discovery=discovery,
--- a/cherrygrade/platform/discovery.py
+++ b/cherrygrade/platform/discovery.py
@@ -129,7 +129,7 @@
             self._transport.abort()
 
 
-class Follower:
+class DiscoveryClient:
     """One watch; two while one is silent or its address changes: the old one goes once the new one told."""
 
     def __init__(
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -21,10 +21,10 @@
 from cherrygrade.logs import plain_log
 from cherrygrade.peers.arrivals import Arrivals
 from cherrygrade.platform.clients import ClientConnection, PendingRequest, read_rpc
-from cherrygrade.platform.discovery import Follower
+from cherrygrade.platform.config import Config, ConfigError, read_config
+from cherrygrade.platform.discovery import DiscoveryClient
 from cherrygrade.platform.listing import Listing
 from cherrygrade.platform.nodes import ConnectionPool, Sockets
-from cherrygrade.platform.orders import Orders, OrdersError, read_orders
 from cherrygrade.platform.watching import BLIND_MS, READY_MS
 from cherrygrade.policy import Dispatcher
 from cherrygrade.transport.listening import listen
@@ -50,13 +50,13 @@
 
     def __init__(
         self,
-        orders: Orders,
+        config: Config,
         log: Callable[..., None],
         make: Callable[..., Dispatcher],
         env: Mapping[str, str] = os.environ,
     ) -> None:
-        self.orders, self.log, self.env = orders, log, env
-        pairs = orders.pairs
+        self.config, self.log, self.env = config, log, env
+        pairs = config.pairs
         self.workloads, self.plans = pairs.workloads(), pairs.plans()
         self.connect_ms = pairs.ms("limits.connectTimeoutS", 0.25)
         self.idle_ms = 0.6 * pairs.ms("limits.connIdleS", 15.0)
@@ -77,21 +77,21 @@
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel(GRAIN_MS)
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        spare = orders.sockets - OWN_SOCKETS
+        spare = config.sockets - OWN_SOCKETS
         self.most_lingering = max(4, spare // 16)
         self.most_clients = spare // 2 - self.most_lingering
         self.arrivals: Arrivals[ClientConnection] = Arrivals(self.most_clients, self.most_clients // 2)
         # What nodes bring and what clients have not taken yet each get a part of the memory.
-        self.room = Room(orders.memory_mb * 1024 * 1024 // 4)
+        self.room = Room(config.memory_mb * 1024 * 1024 // 4)
         self.sockets = Sockets(spare - spare // 2, self.room)
-        module = pairs.dispatcher(make, orders.seed)
+        module = pairs.dispatcher(make, config.seed)
         self.rounds = Rounds(module, self, self._crashed, lambda text: log("module", text=text))
         # One reading of both clocks: a node's birth is told in Unix time.
         offset = asyncio.get_running_loop().time() * 1000.0 - time.time() * 1000.0
         self.listing = Listing(self.nodes, lambda unix: unix + offset)
-        name = f"{orders.seed}:{orders.name}"
+        name = f"{config.seed}:{config.name}"
         clock = self.rounds.clock
-        self.follower = Follower(orders.discovery, name, self.listing, clock, self._heard, log)
+        self.discovery = DiscoveryClient(config.discovery, name, self.listing, clock, self._heard, log)
         self._alarm = Alarm(self.wheel, clock, self.before_round)
         self._server: asyncio.Server | None = None
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -100,15 +100,15 @@
 
     async def start(self) -> int:
         loop = asyncio.get_running_loop()
-        self.follower.start()
+        self.discovery.start()
         self._timers["blind"] = loop.call_later(BLIND_MS / 1000.0, self._by_known)
         self._timers["ready"] = loop.call_later(READY_MS / 1000.0, self._ready_unsighted)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._sweep()
         self._tell()
-        self._server = await listen(lambda: ClientConnection(self), self.orders.listen, BACKLOG, ABREAST)
+        self._server = await listen(lambda: ClientConnection(self), self.config.listen, BACKLOG, ABREAST)
         port: int = self._server.sockets[0].getsockname()[1]
-        self.log("listening", address=self.orders.listen)
+        self.log("listening", address=self.config.listen)
         return port
 
     def _ready_unsighted(self) -> None:
@@ -120,29 +120,29 @@
     def _by_known(self) -> None:
         """Discovery is silent, and a list that may be old serves better than none."""
         if not self.sighted:
-            self.log("list of the file taken: discovery is silent", version=self.orders.known.get("seq"))
-            self._heard(self.listing.hear(self.orders.known) or [])
+            self.log("list of the file taken: discovery is silent", version=self.config.known.get("seq"))
+            self._heard(self.listing.hear(self.config.known) or [])
 
     def reload(self) -> None:
         """The file is read anew: a bad one changes nothing. Only discovery's address is taken."""
         try:
-            orders = read_orders(self.env)
-        except OrdersError as trouble:
+            config = read_config(self.env)
+        except ConfigError as trouble:
             self.log("reload refused", why=str(trouble))
             return
-        old, self.orders = self.orders, orders
+        old, self.config = self.config, config
         kept = [
             key
             for key, now, before in (
-                ("listen", orders.listen, old.listen),
-                ("limits.sockets", orders.sockets, old.sockets),
-                ("settings", orders.pairs.same(), old.pairs.same()),
+                ("listen", config.listen, old.listen),
+                ("limits.sockets", config.sockets, old.sockets),
+                ("settings", config.pairs.same(), old.pairs.same()),
             )
             if now != before
         ]
-        self.log("reloaded", discovery=orders.discovery, not_taken=kept)
-        if orders.discovery != self.follower.address:
-            self.follower.move(orders.discovery)
+        self.log("reloaded", discovery=config.discovery, not_taken=kept)
+        if config.discovery != self.discovery.address:
+            self.discovery.move(config.discovery)
 
     def leave(self) -> None:
         """Take what still comes for a moment, finish what is held, end; a second call ends at once."""
@@ -211,7 +211,7 @@
         gate, whole = self.rounds.module.gate, code != LEFT_BROKEN  # a broken module's word is not taken
         for pending in [*self.open.values()]:
             self._final(pending, 503 if whole and gate.may_reject(pending) else 502)
-        self.follower.close()
+        self.discovery.close()
         self._alarm.close()
         for timer in self._timers.values():
             timer.cancel()
@@ -435,19 +435,19 @@
 
 def main() -> int:
     try:
-        orders = read_orders(os.environ)
-    except OrdersError as trouble:
+        config = read_config(os.environ)
+    except ConfigError as trouble:
         print(trouble, file=sys.stderr)
         return 2
-    log = plain_log(dispatcher=orders.name)
+    log = plain_log(dispatcher=config.name)
     make, compiled = dispatcher()
     log("module", compiled=compiled)
 
     async def run() -> int:
-        return await serve(Platform(orders, log, make))
+        return await serve(Platform(config, log, make))
 
     try:
         return asyncio.run(run())
     except OSError as trouble:
-        print(f"listen: {orders.listen}: {trouble}", file=sys.stderr)
+        print(f"listen: {config.listen}: {trouble}", file=sys.stderr)
         return 2
--- a/tests/square.py
+++ b/tests/square.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from cherrygrade.http.reader import Message, Reader, Room
-from cherrygrade.platform.orders import read_orders
+from cherrygrade.platform.config import read_config
 from cherrygrade.platform.process import Platform
 from cherrygrade.policy import Dispatcher
 from cherrygrade.standin.web import WebDiscovery, WebNode
@@ -96,7 +96,7 @@
         self.discovery.tell(node.entry())
         return node
 
-    def write_orders(self, **other: Any) -> None:
+    def write_config(self, **other: Any) -> None:
         """The configuration file, as the platform writes it."""
         told: dict[str, Any] = {
             "name": "n0",
@@ -117,12 +117,12 @@
     async def begin(self, make: Callable[..., Any] = Dispatcher, **other: Any) -> Platform:
         """Without waiting for the first list."""
         await self.discovery.open()
-        self.write_orders(**other)
+        self.write_config(**other)
 
         def log(event: str, **facts: Any) -> None:
             self.logs.append((event, facts))
 
-        self.platform = Platform(read_orders(self.env), log, make, self.env)
+        self.platform = Platform(read_config(self.env), log, make, self.env)
         self.port = await self.platform.start()
         return self.platform
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -475,7 +475,7 @@
         assert await asyncio.wait_for(platform.done, 2.0) == LEFT_CLEAN
         asked, moved = len(square.discovery.asked), type(square.discovery)()
         await moved.open()
-        square.write_orders(discovery=moved.address)
+        square.write_config(discovery=moved.address)
         platform.reload()
         await asyncio.sleep(0.05)
         assert not moved.made and len(square.discovery.asked) == asked
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Outcome, Standing
 from cherrygrade.platform import process, watching
-from cherrygrade.platform.orders import OrdersError, read_orders
+from cherrygrade.platform.config import ConfigError, read_config
 from cherrygrade.policy import Dispatcher
 from cherrygrade.standin.web import WebDiscovery
 
@@ -548,7 +548,7 @@
     # What discovery has counts from the first moment; the file's list may be from before.
     async def story(square: Square) -> None:
         old, new = await square.node(shard=0), await square.node(shard=0)
-        square.write_orders()
+        square.write_config()
         known = json.loads((tmp_path / "config.json").read_text())["known"]
         square.discovery.tell(old.entry("terminating"))
         square.discovery.down = True
@@ -621,7 +621,7 @@
         square.discovery = type(old)()
         square.discovery.version, square.discovery.hosts = old.version, old.hosts
         await square.discovery.open()
-        square.write_orders()
+        square.write_config()
         os.kill(os.getpid(), signal.SIGHUP)
         await square.until(lambda: square.discovery.asked and not old.peers)
         old.close()
@@ -732,9 +732,9 @@
 )
 def test_a_wrong_configuration_names_its_key_what_is_wanted_and_what_stood_there(tmp_path, change, told):
     square = Square(tmp_path)
-    square.write_orders()
+    square.write_config()
     whole = json.loads((tmp_path / "config.json").read_text()) | change
     (tmp_path / "config.json").write_text(json.dumps(whole))
-    with pytest.raises(OrdersError) as trouble:
-        read_orders(square.env)
+    with pytest.raises(ConfigError) as trouble:
+        read_config(square.env)
     assert str(trouble.value) == told
--- a/tests/test_watch_clock.py
+++ b/tests/test_watch_clock.py
@@ -13,7 +13,7 @@
 from cherrygrade.door import Nodes
 from cherrygrade.http.reader import Reader
 from cherrygrade.interface import Standing
-from cherrygrade.platform.discovery import Follower
+from cherrygrade.platform.discovery import DiscoveryClient
 from cherrygrade.platform.listing import Listing
 from cherrygrade.virtual.loop import VirtualLoop
 from cherrygrade.virtual.network import Network
@@ -121,7 +121,7 @@
         loop = asyncio.get_running_loop()
         self.loop, self.agent = loop, Agent(8500)
         self.listing = Listing(Nodes(), lambda unix: unix)
-        self.follower = Follower(
+        self.follower = DiscoveryClient(
             "127.0.0.1:8500", "n0", self.listing, lambda: loop.time() * 1000.0, lambda nodes: None, self.log
         )
         self.events: list[str] = []
