--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,122 @@
+"""Bad clients of every kind at once against one process, and what usual clients get beside them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import psutil
+from square import ask
+from started import SOCKETS, Started
+
+from cherrygrade.http.reader import Reader
+
+CUT = ask()[:-2]  # its head does not end
+# What each kind writes, and what it is told; None: a close will do.
+KINDS: dict[str, tuple[list[bytes], int | None]] = {
+    "no HTTP": ([b"\x00\x01\x02 nonsense\r\n\r\n"], 400),
+    "a head without end": ([CUT, *[b"X-More: " + b"a" * 1000 + b"\r\n"] * 40], 431),
+    "many fields": ([CUT, *[b"X-%d: 1\r\n" % n for n in range(200)], b"\r\n"], 431),
+    "a body of 60 MB": ([ask(method="PUT", Content_Length="61000000"), *[bytes(65536)] * 60], 413),
+    "chunks without end": (
+        [ask(method="PUT", Content_Length=None, Transfer_Encoding="chunked"), *[b"1\r\nx\r\n" * 10000] * 12],
+        413,
+    ),
+    "two lengths": ([ask(method="PUT", body=b"abc", Content_Length="3\r\nContent-Length: 4")], 400),
+    "length and chunks": ([ask(method="PUT", body=b"abc", Transfer_Encoding="chunked")], 400),
+    "a class that is none": ([ask(X_Call_Class="nothing")], 400),
+    "a plan that is none": ([ask(X_Storage_Class="nothing")], 400),
+    "half a request": ([ask()[:40]], None),
+    "nothing": ([], None),
+    "a flood": ([b"".join(ask(X_Call_Class="nothing") for _ in range(400))], 400),
+}
+
+
+async def bad(one: Started, writes: list[bytes]) -> list[int] | None:
+    """The statuses that it is told until its connection ends; None where that takes over 6 s."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+    except ConnectionError:
+        return []
+    told = Reader(answers=True)
+
+    async def write() -> None:
+        try:
+            for some in writes:
+                writer.write(some)
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    async def read() -> None:
+        try:
+            while some := await reader.read(65536):
+                told.feed(some)
+        except ConnectionError:
+            pass
+
+    writing = asyncio.create_task(write())
+    try:
+        await asyncio.wait_for(read(), 6.0)
+    except TimeoutError:
+        return None
+    finally:
+        writing.cancel()
+        writer.close()
+    return [message.status for message in told.found]
+
+
+async def deaf(one: Started) -> None:
+    """Asks for much and never reads."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.sock_connect(sock, ("127.0.0.1", one.port))
+        await asyncio.wait_for(loop.sock_sendall(sock, b"".join(ask() for _ in range(300))), 1.0)
+        await asyncio.sleep(2.0)
+    except (TimeoutError, ConnectionError):
+        pass
+    finally:
+        sock.close()
+
+
+def test_floods_of_every_kind_at_once_cost_usual_clients_nothing(tmp_path):
+    async def story() -> None:
+        one = Started(tmp_path)
+        await one.start()
+        try:
+            usual, kept = await one.caller(), psutil.Process(one.process.pid)
+            before, most, served, stop = kept.memory_info().rss, 0, [], asyncio.Event()
+
+            async def serve() -> None:
+                nonlocal most
+                while not stop.is_set():
+                    # Each of its own key: one that follows what was given up there is taken for its repeat.
+                    answered = await usual.call(ask(f"/api/00000000000000ac/{len(served):016x}"))
+                    served.append(answered.status if answered is not None else 0)
+                    served.append(await one.fresh(f"/api/00000000000000ac/{len(served):016x}"))
+                    most = max(most, kept.num_fds())
+                    await asyncio.sleep(0.01)
+
+            serving = asyncio.create_task(serve())
+            for _ in range(3):
+                crowd = [deaf(one) for _ in range(3)]
+                told = await asyncio.gather(*[bad(one, writes) for writes, _ in KINDS.values()], *crowd)
+                for (name, (_, status)), got in zip(KINDS.items(), told, strict=False):
+                    assert got is not None, f"{name}: neither told nor closed"
+                    assert status is None or got[:1] in ([status], []), f"{name}: {got}"
+                    assert 200 not in got, name
+            stop.set()
+            await serving
+            # Nobody usual is closed unanswered, and hardly any is rejected (the node shares this process).
+            assert len(served) > 20 and 0 not in served and served.count(200) >= 0.9 * len(served)
+            assert most <= SOCKETS - 8
+            assert kept.memory_info().rss - before < 24 * 1024 * 1024
+            assert {message.fields[b"x-call-class"] for message in one.node.came} == {b"read"}
+        finally:
+            code = await one.end()
+        assert code == 0 and "Traceback" not in one.told()
+
+    asyncio.run(asyncio.wait_for(story(), 90.0))
