A burst of leavings cut the lingering closes of others

Found by reading: each client that ended its side took a place among who linger until the next turn, and beyond their number the oldest was cut, with the answer that it had perhaps not read. A client that has nothing to take is gone by the next turn and takes none. The story fails without it.

--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -204,6 +204,8 @@
         """The client has gone: nothing more is begun for it."""
         if not self.ended:
             self._stop()
+            if self.unsent:  # else it is gone by the next turn, and takes nobody's place among who linger
+                self.owner.lingers(self)
         pending, self.open = self.open, None
         if pending is not None:
             self.owner.left(pending)
@@ -213,7 +215,6 @@
         self._queue.clear()
         self._kept.clear()
         self.quiet_from = self.owner.clock()
-        self.owner.lingers(self)
 
     def look_gone(self) -> bool:
         """Whether the client has closed, asked right before an attempt begins: its end may be in the system
@@ -280,6 +281,7 @@
         if self.ended or self._transport is None:
             return
         self._stop()
+        self.owner.lingers(self)
         if not self._transport.is_closing():
             self._transport.resume_reading()
             try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -316,6 +316,23 @@
     play(tmp_path, story)
 
 
+def test_a_burst_of_leavings_cuts_nobodys_lingering_close(tmp_path):
+    async def story(square: Square) -> None:
+        platform = await square.start()
+        refused = [raw(square, b"\x00 nonsense\r\n\r\n") for _ in range(platform.most_lingering)]
+        await square.until(lambda: len(platform.lingering) == len(refused))
+        burst = [raw(square) for _ in range(40)]
+        await square.until(lambda: len(platform.clients) == 40)
+        for one in burst:
+            one.close()
+        await square.until(lambda: not platform.clients)
+        assert len(platform.lingering) == len(refused)
+        for data, orderly in await asyncio.gather(*map(ends, refused)):
+            assert statuses(data) == [400] and orderly
+
+    play(tmp_path, story)
+
+
 @pytest.mark.parametrize("idle", ["rested", "silent"])
 def test_a_request_that_crosses_our_close_of_an_idle_connection_is_never_passed_on(tmp_path, idle):
     async def story(square: Square) -> None:
