--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import struct
+import time
 
 import pytest
 from fakehost import ORDERED, FakeHost
@@ -436,6 +437,48 @@
     play(tmp_path, story)
 
 
+def test_the_end_tells_who_sent_much_at_once_though_its_reading_rests(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        node.script.append(None)
+        platform = await square.start()
+        client = raw(square, b"".join(ask(X_Budget_Ms="2000") for _ in range(300)))
+        await square.until(lambda: node.came)
+        connection = next(iter(platform.clients))
+        await square.until(lambda: not connection._transport.is_reading())
+        platform.leave()
+        platform.leave()
+        data, orderly = await ends(client)
+        assert statuses(data) == [503] and orderly and len(node.came) == 1
+        await asyncio.wait_for(platform.done, 1.0)
+
+    play(tmp_path, story)
+
+
+def test_on_a_loop_that_stands_still_just_then_everybody_is_answered_before_the_kill(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        node.script.extend([None] * 9)
+        platform = await square.start()
+        ready = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+        read, once, loop = raw(square, ready), raw(square, ready), asyncio.get_running_loop()
+        await square.until(lambda: len(platform.resting) == 2)
+        platform.leave()
+        kill = loop.time() + 2.0 + process.KNOCK_MS / 1000.0
+        cut = kill - process.CUT_MS / 1000.0
+        before = kill - process.TURN_MS / 1000.0 - 0.03  # idle ones are ended then
+        loop.call_at(before, read.sendall, ask(X_Budget_Ms="2000"))
+        loop.call_at(before, once.sendall, ask(X_Call_Class="once", X_Budget_Ms="1500", **PUT_ONCE))
+        loop.call_at(cut - 0.01, time.sleep, 0.1)  # the last step is 90 ms late by this
+        told = await asyncio.gather(ends(read), ends(once))
+        assert [orderly for _, orderly in told] == [True, True]
+        assert statuses(told[0][0]) == [200, 503] and statuses(told[1][0]) in ([200, 502], [200, 503])
+        await asyncio.wait_for(platform.done, 1.0)
+        assert loop.time() < kill
+
+    play(tmp_path, story)
+
+
 def test_an_answer_that_came_in_the_turn_of_the_end_is_given(tmp_path):
     async def story(square: Square) -> None:
         node = await square.node()
@@ -712,3 +755,21 @@
         assert platform.rounds.module.told == [Outcome.FULL, Outcome.OK] and node.made == 2
 
     play(tmp_path, story)
+
+
+@pytest.mark.parametrize("half", [b"HTTP/1.1 2", answer(200, b"somebody else's")[:-3], answer(200, b"whole")])
+def test_bytes_of_a_node_in_the_instant_of_our_close_are_nobodys(tmp_path, half):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        caller = await square.caller()
+        assert (await caller.call(ask())).status == 200
+        pool = next(iter(platform.pools.values()))
+        node.peers[0].transport.get_extra_info("socket")._sock.send(half)  # there, and not read
+        pool.close_idle(platform.rounds.clock() + 1e6)
+        assert not pool.free and not pool.connections
+        assert (await caller.call(ask())).body == b"of " + TARGET
+        assert node.made == 2 and platform.rounds.module.told == [Outcome.OK, Outcome.OK]
+        assert platform.sockets.used == 1
+
+    play(tmp_path, story)
