--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -384,6 +384,43 @@
     play(tmp_path, story)
 
 
+def test_who_has_half_a_request_on_its_way_does_not_go_for_a_fresh_client(tmp_path):
+    async def story(square: Square) -> None:
+        await square.node()
+        platform = await square.start()
+        client, data = raw(square, ask()), ask()
+        await square.until(lambda: platform.resting)
+        client.sendall(data[:-9])
+        await square.until(lambda: next(iter(platform.clients)).within)
+        platform.most_clients = 1
+        platform.enter(clients.ClientConnection(platform))
+        client.sendall(data[-9:])
+        await square.until(lambda: platform.finals[200] == 2)
+        client.close()
+
+    play(tmp_path, story)
+
+
+def test_answers_that_wait_at_lingering_closes_count_as_memory(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        node.script.append(answer(200, bytes(900_000)))
+        client = await narrow(square)
+        client.sendall(ask(X_Budget_Ms="2000"))
+        connection = next(iter(platform.clients))
+        await square.until(lambda: connection.unsent)
+        connection.end()
+        assert connection in platform.lingering and connection.unsent
+        platform.room.most = 1000
+        platform._sweep()
+        await asyncio.sleep(0.01)
+        assert not platform.lingering
+        client.close()
+
+    play(tmp_path, story)
+
+
 def test_whoever_the_system_accepted_is_answered_before_the_door_closes(tmp_path):
     async def story(square: Square) -> None:
         await square.node()
