--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -364,6 +364,54 @@
     return 0 if found.last_ms < float("inf") and not found.wrongly_dead else 1
 
 
+@lab.command(name="scale")
+def lab_scale(
+    scenario: Path = Path("scenarios/scale.rec"),
+    *,
+    dispatchers: int | None = None,
+    real: int | None = None,
+    nodes: int | None = None,
+    seed: int | None = None,
+    report: Path | None = None,
+    quick: bool = False,
+    folder: Path | None = None,
+    given: Given = (),
+) -> int:
+    """Hollow dispatchers by the hundred beside real ones, at rest and with each fault; write the report.
+
+    Exit code 0: measured, and every promise held; 1: a promise was not held; 2: settings or arguments are
+    wrong, or the run is larger than it may be; 3: not measured.
+
+    Parameters
+    ----------
+    real
+        How many of the dispatchers are processes of the program.
+    quick
+        Shorter parts.
+    folder
+        Where the records stay; else nothing is left.
+    """
+    from cherrygrade.errors import Trouble
+    from cherrygrade.lab.scale import report as reports
+    from cherrygrade.lab.scale.run import play, read_scale
+
+    options = {"dispatchers": dispatchers, "real": real, "nodes": nodes, "seed": seed}
+    told = {name: value for name, value in options.items() if value is not None}
+    text = "\n".join([*given, *(f"{name}: {value}" for name, value in told.items())])
+    command = " ".join(["cherrygrade lab scale", *([] if scenario.name == "scale.rec" else [scenario.name])])
+    command += "".join(f" --{name} {value}" for name, value in told.items()) + (" --quick" if quick else "")
+    command += "".join(f" --with '{one}'" for one in given)
+    try:
+        scale = read_scale(scenario, text)
+        made = play(scale, command, quick, folder, lambda what: print(what, file=sys.stderr, flush=True))
+    except (RecordError, Trouble) as trouble:
+        print(trouble, file=sys.stderr)
+        return 2
+    if report is not None:
+        reports.write(made, report)
+    return reports.show(made)
+
+
 @lab.command(name="audit")
 def lab_audit(scenario: Path, folder: Path, *, given: Given = ()) -> int:
     """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
--- a/cherrygrade/lab/audits/fleetaudit.py
+++ b/cherrygrade/lab/audits/fleetaudit.py
@@ -10,7 +10,7 @@
 import json
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import pairwise
 from pathlib import Path
@@ -206,15 +206,22 @@
 
 def judge(folder: Path) -> list[Verdict]:
     story = read(folder)
-    truth = Truth(story)
-    rules = [_known, _nobody, _equal, _old, _unprobed, _words, _rest]
+    verdicts = judge_by(story, Truth(story), PROMISES)
+    record = folder / "receiver.jsonl"
+    return [*verdicts, _alone(record), _done(story, record)] if record.exists() else verdicts
+
+
+def judge_by(story: Story, truth: Truth, numbers: Iterable[int]) -> list[Verdict]:
+    """By the rules with these numbers alone."""
+    rules = dict(
+        zip(PROMISES, [_known, _nobody, _equal, _old, _unprobed, _words, _rest], strict=True)
+    )
     verdicts = []
-    for number, rule in zip(PROMISES, rules, strict=True):
+    for number in numbers:
         verdict = Verdict(number)
-        rule(story, truth, verdict)
+        rules[number](story, truth, verdict)
         verdicts.append(verdict)
-    record = folder / "receiver.jsonl"
-    return [*verdicts, _alone(record), _done(story, record)] if record.exists() else verdicts
+    return verdicts
 
 
 def _alone(record: Path) -> Verdict:
@@ -387,13 +394,13 @@
         for life in lives:
             if life.ended < story.end - KNOWN_MS and not life.left:
                 known += [
-                    _first(story, truth, one, life.ended) for one in story.living(life.ended + KNOWN_MS)
+                    first_true(story, truth, one, life.ended) for one in story.living(life.ended + KNOWN_MS)
                 ]
     if known:
         found |= {"death_first_ms": min(known), "death_last_ms": max(known)}
     heals = [end for _, end, _ in story.cuts]
     if heals:
-        back = [_first(story, truth, one, at) for at in heals for one in story.living(at + BACK_MS)]
+        back = [first_true(story, truth, one, at) for at in heals for one in story.living(at + BACK_MS)]
         found["heal_last_ms"] = max(back)
     count = max(1, len(story.living(story.end - 1.0)))
     by_second: dict[int, int] = defaultdict(int)
@@ -417,7 +424,8 @@
     return found
 
 
-def _first(story: Story, truth: Truth, number: int, after: float) -> float:
+def first_true(story: Story, truth: Truth, number: int, after: float) -> float:
+    """Ms from then until its digest was the true one; 1e9 where it never was."""
     pages = story.by_source[number]
     for page in pages[bisect_left(pages, after, key=lambda page: page.at) :]:
         if page.digest and page.digest == truth.digest(page.at):
--- /dev/null
+++ b/cherrygrade/lab/scale/report.py
@@ -0,0 +1,235 @@
+"""A scale run's report: one JSON object, small, as `docs/scale-run.md` describes it."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import psutil
+
+from cherrygrade.lab.scale import sums
+from cherrygrade.lab.scale.plan import need
+from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase
+
+if TYPE_CHECKING:
+    from cherrygrade.lab.scale.run import Run
+
+MIB = 1024 * 1024
+
+
+def made(
+    run: Run,
+    command: str,
+    commit: str,
+    results: list[HostResult],
+    late: dict[str, Any],
+    promises: list[dict[str, Any]],
+    trouble: str,
+) -> dict[str, Any]:
+    scale = run.scale
+    figures: list[Figure] = []
+    played = [phase for phase in run.phases.values() if late["parts"][phase.when]["measured"] is True]
+    for phase in played:
+        if phase.when == "back":
+            continue
+        figures += sums.members(results, phase)
+        figures += council(run, phase)
+    rest = run.phases.get("rest")
+    if rest in played and rest is not None:
+        figures += at_rest(run, rest)
+    missed = [step.when for step in run.steps if step.when not in run.phases]
+    notes = {step.when: step.note for step in run.steps if step.note}
+    notes |= {when: "not run" for when in missed}
+    whole = sums.measured(late)
+    if missed:
+        why = f"not run: {', '.join(missed)}" + (f" ({trouble})" if trouble else "")
+        whole = why if whole is True else f"{whole}; {why}"
+    return {
+        "command": command,
+        "commit": commit,
+        "seed": scale.seed,
+        "size": {
+            "dispatchers": scale.dispatchers,
+            "real": scale.real,
+            "nodes": scale.nodes,
+            "processes": run.most.processes,
+        },
+        "machine": {"cores": psutil.cpu_count(), "memory_mb": psutil.virtual_memory().total // MIB},
+        "taken": {"memory_mb": round(run.most.memory_mb), "reckoned_mb": round(need(scale).memory_mb)},
+        "measured": whole,
+        "lateness": late,
+        "parts": notes,
+        "hollow_against_real": compared(run, results, rest) if rest in played else "not measured",
+        "load": run.facts.get("load", {}),
+        "figures": [one.told() for one in figures],
+        "promises": promises,
+    }
+
+
+def write(report: dict[str, Any], file: Path) -> None:
+    file.parent.mkdir(parents=True, exist_ok=True)
+    lines = []
+    for key, value in report.items():
+        if isinstance(value, list):
+            rows = ",\n".join("  " + json.dumps(one) for one in value)
+            lines.append(f' "{key}": [\n{rows}\n ]')
+        else:
+            lines.append(f' "{key}": {json.dumps(value)}')
+    file.write_text("{\n" + ",\n".join(lines) + "\n}\n")
+
+
+def _between(run: Run, when: str, number: str) -> tuple[dict[str, Any], dict[str, Any], float] | None:
+    """What a real member said at a part's two ends, and the seconds between."""
+    first = run.asked.get(f"{when} begins", {}).get(number)
+    last = run.asked.get(f"{when} ends", {}).get(number)
+    if first is None or last is None or last["at"] <= first["at"]:
+        return None
+    return first, last, (last["at"] - first["at"]) / 1000.0
+
+
+def _leader(run: Run, when: str) -> str:
+    told = run.asked.get(f"{when} ends", {})
+    named = [one["council"]["leader"] for one in told.values() if one.get("council")]
+    return max(sorted({*named}), key=named.count).removeprefix("d").partition("/")[0] if named else ""
+
+
+def council(run: Run, phase: Phase) -> list[Figure]:
+    """Of voters and of their leader: what the system counts, and the words that they sent as such."""
+    found: list[Figure] = []
+    leader = _leader(run, phase.when)
+    voters = [str(number) for number in range(run.scale.voters)]
+    for role, names in (
+        ("council leader", [one for one in voters if one == leader]),
+        ("council voter", [one for one in voters if one != leader]),
+    ):
+        seen = [run.seen.get(f"dispatcher-{name}", []) for name in names]
+        found += sums.processes(role, seen, phase, disk=True)
+        said = []
+        for name in names:
+            between = _between(run, phase.when, name)
+            if between is not None and between[0].get("council") and between[1].get("council"):
+                first, last, took = between
+                said.append((last["council"]["said_bytes"] - first["council"]["said_bytes"]) / took)
+        if said:
+            low, high, mean = min(said), max(said), sum(said) / len(said)
+            # Asked at the part's ends only: its worst second is not known.
+            found.append(Figure(role, "bytes sent", "B/s", phase.when, mean, mean, (low, high)))
+    return found
+
+
+def _even(role: str, what: str, unit: str, values: list[float]) -> Figure:
+    mean = sum(values) / len(values) if values else 0.0
+    low, high = (min(values), max(values)) if values else (0.0, 0.0)
+    return Figure(role, what, unit, "rest", mean, high, (low, high))
+
+
+def at_rest(run: Run, phase: Phase) -> list[Figure]:
+    """Of those roles that do not change by the fleet's faults."""
+    scale, facts = run.scale, run.facts
+    sockets: dict[str, int] = facts.get("sockets", {})
+    found = [_even("dispatcher control", "state entries", "members", [float(n) for n in facts["entries"]])]
+    loaded = range(scale.real - min(scale.loaded, scale.real), scale.real)
+    for role, numbers in (("dispatcher serving", loaded), ("dispatcher idle", range(scale.voters, loaded.start))):
+        names = [f"dispatcher-{number}" for number in numbers]
+        found += sums.processes(role, [run.seen.get(name, []) for name in names], phase)
+        if names:
+            found.append(_even(role, "connections", "connections", [float(sockets.get(n, 0)) for n in names]))
+    for role, name in (("register", "register"),):
+        found += sums.processes(role, [run.seen.get(name, [])], phase)
+        told = facts.get("register", {})
+        found.append(_even(role, "connections", "connections", [float(told.get("followers", 0))]))
+        found.append(_even(role, "state entries", "nodes", [float(scale.nodes)]))
+    leader = _leader(run, "rest")
+    voters = [n for n in range(scale.voters) if str(n) != leader]
+    for role, numbers_of in (("council voter", voters), ("council leader", [int(leader)] if leader else [])):
+        counts = [float(sockets.get(f"dispatcher-{n}", 0)) for n in numbers_of]
+        if counts:
+            found.append(_even(role, "connections", "connections", counts))
+            asked = run.asked.get("rest ends", {})
+            held = [float(len(asked[str(n)]["council"]["leases"])) for n in numbers_of if str(n) in asked]
+            found.append(_even(role, "state entries", "leases", held))
+    connections = [float(one) for one in facts.get("node_connections", [])]
+    found.append(_even("storage node", "connections", "connections", connections))
+    found += _nodes(run, phase)
+    return found
+
+
+def _nodes(run: Run, phase: Phase) -> list[Figure]:
+    """A process of them holds hundreds: a node's even part."""
+    found = []
+    for at, child in enumerate(run.nodes):
+        del at
+        count = min(400, run.scale.nodes)
+        for one in sums.processes("storage node", [run.seen.get(child.name, [])], phase):
+            if one.what in ("cpu", "memory"):
+                spread = (one.spread[0] / count, one.spread[1] / count)
+                worst = one.worst_second / count
+                found.append(Figure(one.role, one.what, one.unit, "rest", one.mean / count, worst, spread))
+    return found[:2]
+
+
+def compared(run: Run, results: list[HostResult], phase: Phase | None) -> Any:
+    """Hollow members against real ones that neither vote nor are loaded, over the rest."""
+    scale = run.scale
+    if phase is None:
+        return "not run"
+    idle = [str(n) for n in range(scale.voters, scale.real - min(scale.loaded, scale.real))]
+    parts = [found for name in idle if (found := _between(run, "rest", name)) is not None]
+    hollow = {one.what: one for one in sums.members(results, phase) if one.role == "dispatcher control"}
+    if not parts or not hollow:
+        return "not run: no real member of the same part"
+    plain = sums.datagrams(results, phase)
+
+    def rate(what: str) -> float:
+        return sum((last["counts"][what] - first["counts"][what]) / took for first, last, took in parts) / len(parts)
+
+    def system(names: list[str], what: str) -> float:
+        seen = [run.seen.get(name, []) for name in names]
+        return next((one.mean for one in sums.processes("", seen, phase) if one.what == what), 0.0)
+
+    bare = [child.name for child in run.bare]
+    names = [f"dispatcher-{name}" for name in idle]
+    real = Part(
+        rate("sent"), rate("sent_bytes"), rate("got"), rate("got_bytes"),
+        system(names, "cpu"), system(names, "memory"),
+    )  # fmt: skip
+    one = Part(*plain, hollow["cpu"].mean, hollow["memory"].mean)
+    return {
+        "hollow": scale.hollow,
+        "real": len(parts),
+        "bare": len(bare),
+        "rows": sums.against(one, real, system(bare, "cpu"), system(bare, "memory")),
+    }
+
+
+def show(report: dict[str, Any]) -> int:
+    """For a person; gives the exit code."""
+    size, held = report["size"], True
+    print(
+        f"{size['dispatchers']} dispatchers, {size['real']} of them real, {size['nodes']} nodes, "
+        f"{size['processes']} processes, {report['taken']['memory_mb']} MiB"
+    )
+    for when, one in report["lateness"]["parts"].items():
+        mark = "measured" if one["measured"] is True else f"NOT MEASURED: {one['measured']}"
+        print(
+            f"  {when}: late {one['p99_ms']} ms (99 in 100), {one['worst_ms']} at most; cores taken "
+            f"{one['machine']:.2f}, by this run {one['ours']:.2f}; fullest host {one['busiest_host']:.2f}: {mark}"
+        )
+    for one in report["figures"]:
+        if one["role"] == "dispatcher control" and one["what"] in ("bytes sent", "messages sent", "cpu"):
+            low, high = one["spread"]
+            print(
+                f"  {one['when']}: {one['what']} {one['mean']} {one['unit']}, worst second {one['worst_second']}, "
+                f"members {low} to {high}"
+            )
+    against = report["hollow_against_real"]
+    if isinstance(against, dict):
+        for one in against["rows"]:
+            print(f"  hollow over real: {one['what']} {one['hollow']} / {one['real']} = {one['factor']}")
+    for one in report["promises"]:
+        held = held and one["held"]
+        print(f"  {'held' if one['held'] else 'BROKEN'}: {one['what']}: {one['seen']} (bound {one['bound']} {one['unit']})")
+    if not held:
+        return 1
+    return 0 if report["measured"] is True else 3
--- /dev/null
+++ b/cherrygrade/lab/scale/watch.py
@@ -0,0 +1,50 @@
+"""Of what passes, what the audit needs: when a member's digest changed, and each claim's first telling.
+
+Everything would be some megabytes a second in the worst of them. Free of I/O and clock.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from cherrygrade.fleet.members.pages import HEAD, Answer, Probe, Push
+from cherrygrade.fleet.members.roll import Standing
+
+AGAIN_MS = 500.0  # a digest that did not change is noted again after this
+
+_decoder = msgspec.msgpack.Decoder(Probe | Answer | Push)
+
+
+class Watch:
+    """`told` and `digests` by speaker; they grow with the members and their turns."""
+
+    def __init__(self) -> None:
+        self.digests: dict[int, tuple[int, float]] = {}
+        self.told: dict[int, set[tuple[str, int, int, int]]] = {}
+
+    def passed(self, at: float, source: int, data: bytes) -> bool:
+        """Whether this datagram is to be noted."""
+        kind = data[HEAD.size + 2 : HEAD.size + 3]
+        if kind not in (b"p", b"a", b"n"):
+            return False
+        try:
+            page = _decoder.decode(memoryview(data)[HEAD.size :])
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return False
+        worth = False
+        if not isinstance(page, Push):
+            known = self.digests.get(source)
+            if known is None or known[0] != page.digest or at - known[1] >= AGAIN_MS:
+                self.digests[source] = (page.digest, at)
+                worth = True
+        if page.news:
+            told = self.told.setdefault(source, set())
+            for claim in page.news:
+                # Suspicions come and go; the audit looks at who lives and who is called dead.
+                if claim.standing == Standing.SUSPECT:
+                    continue
+                key = (claim.name, claim.birth, claim.turn, claim.standing)
+                if key not in told:
+                    told.add(key)
+                    worth = True
+        return worth
