--- a/cherrygrade/lab/scale/host.py
+++ b/cherrygrade/lab/scale/host.py
@@ -73,6 +73,14 @@
     return sorted({at for at in found if 0 <= at < scale.dispatchers})
 
 
+def waited_ms() -> float:
+    """How long this process was ready to run and no core was free, in all; as Linux counts it."""
+    try:
+        return int(Path("/proc/self/schedstat").read_text().split()[1]) / 1e6
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
 class Lateness:
     """How late the loop called what was due, ms; by whole second."""
 
@@ -172,6 +180,7 @@
 
     def sample(self) -> None:
         """A second's end: counters as they stand, and how late the loop was."""
+        waited = waited_ms()
         late, self.lateness.second = sorted(self.lateness.second), []
         counts = {number: list(self.between.counts.get(number, [0] * len(COUNTS))) for number in self.members}
         for number, party in self.members.items():
@@ -182,6 +191,7 @@
             {
                 "at": self.now(),
                 "cpu_s": time.process_time(),
+                "waited_ms": waited,
                 "machinery_s": self.between.machinery_s,
                 "late": [round(one, 2) for one in late],
                 "rss_kib": self._process.memory_info().rss // 1024,
--- a/cherrygrade/lab/scale/plan.py
+++ b/cherrygrade/lab/scale/plan.py
@@ -24,7 +24,10 @@
     """How long each part of the run takes, ms."""
 
     settle: float
+    calm: float
+    """Before the rest: members ask the council more often for 15 s after anybody came."""
     rest: float
+    loaded: float
     one_dead: float
     few_dead: float
     zone_dead: float
@@ -213,6 +216,7 @@
     short = "" if spans.cut >= 180_000.0 else f"{spans.cut / 1000.0:.0f} s in place of 180 s"
     return [
         Step("rest", "rest", (), spans.rest),
+        Step("under load", "load", (), spans.loaded),
         Step("one dead", "kill", one, spans.one_dead),
         Step("20 dead", "kill", few, spans.few_dead, scaled(len(few), FEW)),
         Step("97 dead", "kill", zone, spans.zone_dead, "; ".join(t for t in ("a zone", scaled(len(zone), 97)) if t)),
