--- a/cherrygrade/lab/scale/holdback.py
+++ b/cherrygrade/lab/scale/holdback.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from time import perf_counter
-from typing import Any, BinaryIO, cast
+from typing import Any, BinaryIO
 
 from cherrygrade.fleet.members.pages import letter
 from cherrygrade.lab.scale.plan import Ways, number_of
@@ -173,7 +173,7 @@
             self._timer = None
 
 
-class HeldStream(asyncio.Transport, asyncio.Protocol):  # type: ignore[misc]
+class HeldStream(asyncio.Transport, asyncio.Protocol):
     """Stands between a socket and the product's connection: transport to one, protocol to the other."""
 
     def __init__(self, loop: HeldLoop, inner: Any, me: int, peer: int = -1) -> None:
@@ -210,7 +210,7 @@
             return
         rest = memoryview(data)
         while rest:
-            place = self.inner.get_buffer(len(rest))
+            place: Any = self.inner.get_buffer(len(rest))
             size = min(len(place), len(rest))
             place[:size] = rest[:size]
             rest = rest[size:]
@@ -333,7 +333,7 @@
     def between(self, between: Between) -> None:
         self._between = between
 
-    async def create_datagram_endpoint(  # type: ignore[override]
+    async def create_datagram_endpoint(
         self, protocol_factory: Callable[[], Any], local_addr: Any = None, **more: Any
     ) -> tuple[Any, Any]:
         me = number_of(local_addr[0]) if local_addr else -1
@@ -341,7 +341,7 @@
             return await super().create_datagram_endpoint(protocol_factory, local_addr, **more)
         inner = protocol_factory()
         _, ear = await super().create_datagram_endpoint(lambda: HeldEar(self, inner, me), local_addr, **more)
-        return cast(HeldEar, ear).held, inner
+        return ear.held, inner
 
     async def create_connection(  # type: ignore[override]
         self,
@@ -373,7 +373,7 @@
         await super().create_connection(factory, host, port, local_addr=local_addr, **more)
         return made[-1], made[-1].inner
 
-    async def create_server(  # type: ignore[override]
+    async def create_server(
         self, protocol_factory: Callable[[], Any], host: Any = None, port: Any = None, **more: Any
     ) -> asyncio.Server:
         sock = more.get("sock")
--- a/cherrygrade/lab/scale/stands.py
+++ b/cherrygrade/lab/scale/stands.py
@@ -113,7 +113,7 @@
 
 def main() -> None:
     told = json.loads(sys.argv[2])
-    roles = {"nodes": nodes, "register": register, "load": load}
+    roles: dict[str, Any] = {"nodes": nodes, "register": register, "load": load}
     asyncio.run(roles[sys.argv[1]](**told))
 
 
