--- a/cherrygrade/lab/scale/holdback.py
+++ b/cherrygrade/lab/scale/holdback.py
@@ -334,16 +334,20 @@
         self._between = between
 
     async def create_datagram_endpoint(
-        self, protocol_factory: Callable[[], Any], local_addr: Any = None, **more: Any
+        self,
+        protocol_factory: Callable[[], Any],
+        local_addr: Any = None,
+        remote_addr: Any = None,
+        **more: Any,
     ) -> tuple[Any, Any]:
         me = number_of(local_addr[0]) if local_addr else -1
         if me < 0:
-            return await super().create_datagram_endpoint(protocol_factory, local_addr, **more)
+            return await super().create_datagram_endpoint(protocol_factory, local_addr, remote_addr, **more)
         inner = protocol_factory()
         _, ear = await super().create_datagram_endpoint(lambda: HeldEar(self, inner, me), local_addr, **more)
         return ear.held, inner
 
-    async def create_connection(  # type: ignore[override]
+    async def create_connection(
         self,
         protocol_factory: Callable[[], Any],
         host: Any = None,
--- a/cherrygrade/lab/scale/report.py
+++ b/cherrygrade/lab/scale/report.py
@@ -26,7 +26,6 @@
     results: list[HostResult],
     late: dict[str, Any],
     promises: list[Promise],
-    trouble: str,
 ) -> dict[str, Any]:
     scale = run.scale
     figures: list[Figure] = []
@@ -47,7 +46,7 @@
     notes |= {when: "not run" for when in missed}
     whole = sums.measured(late)
     if missed:
-        why = f"not run: {', '.join(missed)}" + (f" ({trouble})" if trouble else "")
+        why = f"not run: {', '.join(missed)}" + (f" ({run.cut_short})" if run.cut_short else "")
         whole = why if whole is True else f"{whole}; {why}"
     return {
         "command": command,
--- a/cherrygrade/lab/scale/run.py
+++ b/cherrygrade/lab/scale/run.py
@@ -135,6 +135,7 @@
         self.asked: dict[str, dict[str, dict[str, Any]]] = {}  # by moment, then by member
         self.facts: dict[str, Any] = {}
         self.most = Need(0, 0.0)
+        self.cut_short = ""
         self._known: dict[int, psutil.Process] = {}
         self._note = Record(folder / "day.jsonl")
         self._machine_mb = psutil.virtual_memory().total / MIB
@@ -149,17 +150,22 @@
     # The whole.
 
     async def play(self) -> None:
+        """TooLarge, NotWhole, HostEnded; a signal ends it too, which `cut_short` then tells."""
         admit(self.scale.bounds, need(self.scale), self._machine_mb)
         watching = asyncio.create_task(self._watch())
         playing = asyncio.create_task(self._play())
-        loop, main = asyncio.get_running_loop(), asyncio.current_task()
-        assert main is not None
+        loop = asyncio.get_running_loop()
+
+        def stop(number: signal.Signals) -> None:
+            self.cut_short = f"ended by {number.name}"
+            playing.cancel()
+
         for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, main.cancel)
+            loop.add_signal_handler(number, stop, number)
         try:
             await asyncio.wait([watching, playing], return_when=asyncio.FIRST_COMPLETED)
             for task in (watching, playing):
-                if task.done():
+                if task.done() and not (task.cancelled() and self.cut_short):
                     task.result()
         finally:
             for task in (watching, playing):
@@ -451,28 +457,36 @@
     folder = keep or Path(tempfile.mkdtemp(prefix="cherrygrade-scale-"))
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        return asyncio.run(_play(scale, command, quick, folder, told, breaks))
+        run = asyncio.run(_play(scale, quick, folder, told, breaks))
+        signal.signal(signal.SIGTERM, _stop)  # the event loop's handler went with it
+        told("audit")
+        return _judged(run, command)
     finally:
+        signal.signal(signal.SIGTERM, signal.SIG_DFL)
         if keep is None:
             shutil.rmtree(folder, ignore_errors=True)
 
 
-async def _play(
-    scale: Scale, command: str, quick: bool, folder: Path, told: Callable[[str], None], breaks: str
-) -> dict[str, Any]:
+def _stop(number: int, frame: object) -> None:
+    raise SystemExit(128 + number)
+
+
+async def _play(scale: Scale, quick: bool, folder: Path, told: Callable[[str], None], breaks: str) -> Run:
     run = Run(scale, quick, folder, told, breaks)
-    trouble = ""
     try:
         await run.play()
     except HostEnded as ended:
         if not run.phases:
             raise
-        trouble = str(ended)
-    told("audit")
-    results = []
+        run.cut_short = str(ended)
+    return run
+
+
+def _judged(run: Run, command: str) -> dict[str, Any]:
+    folder, results = run.folder, []
     for file in sorted(folder.glob("host-*.result")):
         results.append(msgspec.msgpack.decode(file.read_bytes(), type=HostResult))
     judge.merge(folder, sorted(folder.glob("host-*.ways")))
-    late = sums.lateness(results, run.phases.values(), scale.bounds)
-    promises = judge.judge(folder, scale, run.steps, run.phases)
-    return report.made(run, command, commit(), results, late, promises, trouble)
+    late = sums.lateness(results, run.phases.values(), run.scale.bounds)
+    promises = judge.judge(folder, run.scale, run.steps, run.phases)
+    return report.made(run, command, commit(), results, late, promises)
