--- a/cherrygrade/lab/scale/judge.py
+++ b/cherrygrade/lab/scale/judge.py
@@ -15,7 +15,7 @@
 from cherrygrade.fleet.members.sides import Side
 from cherrygrade.lab.audits import fleetaudit
 from cherrygrade.lab.audits.audit import lines
-from cherrygrade.lab.audits.fleetaudit import BACK_MS, GRAIN_MS, SHOWN_MS, Story, Truth
+from cherrygrade.lab.audits.fleetaudit import BACK_MS, GRAIN_MS, MANY_KNOWN_MS, SHOWN_MS, Story, Truth
 from cherrygrade.lab.scale.plan import Scale, Seat, Step, seats
 from cherrygrade.lab.scale.sums import Phase
 from cherrygrade.standin.receiver import carried_out
@@ -78,6 +78,9 @@
     if record.exists():
         found += leases(record, scale.drills, phases)
     notes = [facts for _, event, *facts in lines(folder / "day.jsonl") if event == "sides"]
+    cut = phases.get(CUT)
+    if cut is not None and cut.ended - cut.begun < MANY_KNOWN_MS:  # nobody has to know of it by its end
+        notes = [facts for facts in notes if facts[0] != CUT]
     return found + sides(scale, notes)
 
 
