--- a/cherrygrade/lab/scale/judge.py
+++ b/cherrygrade/lab/scale/judge.py
@@ -8,7 +8,6 @@
 
 import heapq
 from collections.abc import Iterable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -17,12 +16,11 @@
 from cherrygrade.lab.audits.audit import lines
 from cherrygrade.lab.audits.fleetaudit import BACK_MS, GRAIN_MS, MANY_KNOWN_MS, SHOWN_MS, Story, Truth
 from cherrygrade.lab.scale.plan import Scale, Seat, Step, seats
-from cherrygrade.lab.scale.sums import Phase
+from cherrygrade.lab.scale.sums import NEVER, Phase, Promise
 from cherrygrade.standin.receiver import carried_out
 from cherrygrade.standin.receiver import judge as one_holder
 from cherrygrade.standin.ways import ENTRY
 
-NEVER = 1e9
 CUT = "half cut"
 EDGE_MS = 3000.0  # at a part's end, in which each drill is to be done
 
@@ -35,23 +33,6 @@
             out.write(ENTRY.pack(at, source, to, lost, len(data)) + data)
 
 
-@dataclass(frozen=True, slots=True)
-class Promise:
-    """`part`: of the run that it was seen in, "" for all of it. Held where `seen` is at most `bound`."""
-
-    what: str
-    part: str
-    bound: float
-    seen: float
-    unit: str
-
-    def told(self) -> dict[str, Any]:
-        seen: float | str = round(self.seen, 1) if self.seen < NEVER else "not within the part"
-        what = f"{self.part}: {self.what}" if self.part else self.what
-        held = self.seen <= self.bound
-        return {"what": what, "bound": self.bound, "seen": seen, "unit": self.unit, "held": held}
-
-
 def judge(folder: Path, scale: Scale, steps: Iterable[Step], phases: dict[str, Phase]) -> list[Promise]:
     """Of the parts that were played."""
     story = fleetaudit.read(folder)
--- a/cherrygrade/lab/scale/sums.py
+++ b/cherrygrade/lab/scale/sums.py
@@ -103,6 +103,37 @@
     return values[min(len(values) - 1, int(part * len(values)))] if values else 0.0
 
 
+# Promises.
+
+NEVER = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """`part`: of the run that it was seen in, "" for all of it. Held where `seen` is at most `bound`."""
+
+    what: str
+    part: str
+    bound: float
+    seen: float
+    unit: str
+
+    def told(self) -> dict[str, Any]:
+        seen: float | str = round(self.seen, 1) if self.seen < NEVER else "not within the part"
+        what = f"{self.part}: {self.what}" if self.part else self.what
+        held = self.seen <= self.bound
+        return {"what": what, "bound": self.bound, "seen": seen, "unit": self.unit, "held": held}
+
+
+def judged(promises: Iterable[Promise], measured: set[str], played: set[str]) -> list[Promise]:
+    """Those that are verdicts: of parts that were measured; of the whole run, where all that were played are,
+    or where it was held in spite of the rest."""
+    whole = played <= measured
+    return [
+        one for one in promises if one.part in measured or (not one.part and (whole or one.seen <= one.bound))
+    ]
+
+
 # Lateness.
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -256,6 +256,16 @@
     assert broken([1000.0, *one[1:]]) == ["tasks with leases not done at its end"]
 
 
+def test_a_promise_is_judged_by_parts_that_were_measured_alone():
+    known = sums.Promise("known to all that live", "one dead", 5500.0, 6000.0, "ms")
+    dead = sums.Promise("living members called dead", "", 0, 3, "members")
+    well = sums.Promise("old lives that came back", "", 0, 0, "members")
+    assert sums.judged([known, dead, well], {"rest", "one dead"}, {"rest", "one dead"}) == [known, dead, well]
+    assert sums.judged([known, dead, well], {"rest"}, {"rest", "one dead"}) == [well]
+    assert not known.told()["held"] and well.told()["held"]
+    assert sums.Promise("w", "", 1.0, sums.NEVER, "").told()["seen"] == "not within the part"
+
+
 def test_what_was_not_measured_is_no_verdict_and_the_code_says_so(capsys):
     told: dict[str, Any] = {
         "size": {"dispatchers": 4, "real": 0, "nodes": 1, "processes": 3},
