--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -117,7 +117,7 @@
             raise Fault(431, "the head is too long")
         if not self._in_head:
             return  # trailers tell nothing here
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")  # white space around it: RFC 9110, 5.5
         fields = message.fields
         fields[name] = fields[name] + b"," + value if name in fields else value
 
