--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from typing import Any
 
@@ -15,6 +16,8 @@
 MOST_HEAD, MOST_FIELDS = 8 * 1024, 64
 MOST_BODY = 64 * 1024
 MOST_ANSWER = 1024 * 1024  # of an answer, as far as there is room
+# The absolute form of a request's target (RFC 9112, 3.2.2) up to its path: whom it names is who was asked.
+ABSOLUTE = re.compile(rb"(?i:http)://[^/?#]+(?=/)")
 
 
 class Room:
@@ -81,6 +84,14 @@
         """A message has begun and not ended."""
         return self._message is not None
 
+    def take_expectation(self) -> bool:
+        """The peer holds a body back until it is told to go on (RFC 9110, 10.1.1); told once a message."""
+        message = self._message
+        if message is None or self._in_head or self._body or self.fault is not None:
+            return False
+        expected: bytes = message.fields.pop(b"expect", b"")
+        return expected.lower() == b"100-continue" and self._parser.get_http_version() != "1.0"
+
     def feed(self, data: bytes) -> None:
         if self.fault is not None:
             return
@@ -139,6 +150,9 @@
             message.status = self._parser.get_status_code()
         else:
             message.method = self._parser.get_method()
+            authority = ABSOLUTE.match(message.target)
+            if authority is not None:
+                message.target = message.target[authority.end() :]
 
     def on_body(self, some: bytes) -> None:
         self._fit(len(self._body) + len(some))
@@ -177,6 +191,11 @@
             self.found.append(message)
 
 
+def connection_options(fields: dict[bytes, bytes]) -> set[bytes]:
+    """What `Connection` names, in lower case (RFC 9110, 7.6.1)."""
+    return {option.strip().lower() for option in fields.get(b"connection", b"").split(b",")}
+
+
 def closes(message: Message) -> bool:
     """The peer ends the connection behind this message."""
-    return b"close" in message.fields.get(b"connection", b"").lower()
+    return b"close" in connection_options(message.fields)
--- a/cherrygrade/http/writer.py
+++ b/cherrygrade/http/writer.py
@@ -18,6 +18,8 @@
     503: b"Service Unavailable",
 }
 
+GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 def answer(status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> bytes:
     """`fields` are whole lines."""
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -11,8 +11,8 @@
 from typing import Protocol
 
 from cherrygrade.held import Held
-from cherrygrade.http.reader import Fault, Message, Reader, closes
-from cherrygrade.http.writer import answer
+from cherrygrade.http.reader import Fault, Message, Reader, closes, connection_options
+from cherrygrade.http.writer import GO_ON, answer
 from cherrygrade.interface import Plan, Workload
 
 MOST_KEPT = 16 * 1024  # read ahead of an open RPC, so that a close behind it is noticed
@@ -48,7 +48,7 @@
 
 
 def _passes_on(fields: dict[bytes, bytes]) -> tuple[tuple[bytes, bytes], ...]:
-    named = {name.strip().lower() for name in fields.get(b"connection", b"").split(b",")}
+    named = connection_options(fields)
     return tuple(field for field in fields.items() if field[0] not in OWN and field[0] not in named)
 
 
@@ -162,6 +162,7 @@
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._paused = self._looking = False
+        self._closes = False  # the client wants no more behind the answer
 
     # What the event loop calls.
 
@@ -263,7 +264,7 @@
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
         """The final answer of the RPC that is open."""
-        close = close or self.owner.closing
+        close = close or self._closes or self.owner.closing
         self.open = None
         self.quiet_from = self.owner.clock()
         if self._transport is None or self.ended:
@@ -338,6 +339,8 @@
                 elif self._reader.fault is not None:
                     self._refuse(self._reader.fault)
                 else:
+                    if self._reader.take_expectation() and self._transport is not None:
+                        self._transport.write(GO_ON)
                     break
         finally:
             self._looking = False
@@ -349,8 +352,9 @@
     def _begin(self, message: Message) -> None:
         self.spoken = True
         self.owner.spoke(self)
+        self._closes = closes(message)
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200 if self.owner.ready else 503, close=closes(message))
+            self.answer(200 if self.owner.ready else 503)
             return
         try:
             self.open = self.owner.ask(self, message)
