A process with discovery silent from its start is ready after 4.5 s, in time for 6 s

READY_MS was 7 s from the moment the event loop ran, on top of interpreter and imports, so with discovery silent none was in time. Now 4.5 s; 1.5 s are left for the start.

New: test_a_restarted_process_is_ready_within_6_s_of_its_start_with_discovery_silent plays it with the real program and counts its processor time at a quarter of a core; seen to fail at 7 s. The bound of 8 s in test_platform is replaced by 4.5 s, since 8 s stood for the older term of 10 s; seen to fail at 7 s too.

--- a/cherrygrade/platform/watching.py
+++ b/cherrygrade/platform/watching.py
@@ -14,8 +14,9 @@
 QUIET_MS = 3000.0  # an empty line is due every 2 s: this one was a second late
 FIRST_MS = 1000.0  # from the connect to the first list: the agent is on this machine and answers at once
 # A new process without its first list: after READY_MS it is ready, tells clients when to come back and sends
-# nothing; after BLIND_MS the list in its file, which may be old, has to do.
-READY_MS, BLIND_MS = 7000.0, 60000.0
+# nothing; after BLIND_MS the list in its file, which may be old, has to do. The platform wants a restarted
+# one ready within 6 s of its start: the rest is for the interpreter and imports on a small share of a core.
+READY_MS, BLIND_MS = 4500.0, 60000.0
 AGAIN_MS = 250.0  # the longest wait between connects: discovery may be there for a moment only
 MOST_BYTES = 4 * 1024 * 1024
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -13,6 +13,7 @@
 
 from square import SETTINGS, Caller, ask
 
+from cherrygrade.platform.watching import READY_MS
 from cherrygrade.standin.web import WebDiscovery, WebNode
 
 ROOT = Path(__file__).parent.parent
@@ -148,6 +149,63 @@
     assert {path for path in named if not any(file.startswith(path) for file in files)} == set()
 
 
+SHARE = 0.25  # of a core, which the bench's clock divides processor time by; what a slow start may get
+
+
+async def silent_start(folder: Path) -> tuple[float, float, list[int]]:
+    """When `run` answered GET /ready with 200 while discovery was silent from the start: s of real time and
+    of processor time since the process began, and the answers of /ready before."""
+    node, discovery = WebNode("s-0", 0), WebDiscovery()
+    discovery.down = True
+    await node.open()
+    await discovery.open()
+    discovery.tell(node.entry())
+    hold = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = hold.sockets[0].getsockname()[1]
+    hold.close()
+    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": discovery.address, "seed": "8c"}
+    config |= {"settings": SETTINGS, "known": {"seq": 1, "whole": True, "hosts": [node.entry()]}}
+    (folder / "config.json").write_text(json.dumps(config))
+    loop, answers = asyncio.get_running_loop(), list[int]()
+    began = loop.time()
+    process = await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", DEPLOY["run"], cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
+        env=os.environ | {"BALANCER_CONFIG": str(folder / "config.json")},
+    )  # fmt: skip
+    try:
+        while answers[-1:] != [200] and loop.time() - began < 15.0:
+            await asyncio.sleep(0.1)
+            try:
+                caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+            except ConnectionError:
+                continue
+            answer = await caller.call(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            answers.append(answer.status if answer else 0)
+            caller.writer.close()
+        took = loop.time() - began
+        times = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()[11:13]
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        told = await caller.call(ask())
+        assert told is not None and told.status == 503 and told.fields[b"retry-after"] and not node.came
+        caller.writer.close()
+        return took, sum(map(int, times)) / os.sysconf("SC_CLK_TCK"), answers
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        node.close()
+        discovery.close()
+
+
+def test_a_restarted_process_is_ready_within_6_s_of_its_start_with_discovery_silent(tmp_path):
+    # Interpreter and imports count. By the bench's clock they take their processor time over the share of a
+    # core; what is left of the 6 s is READY_MS, and nothing was sent meanwhile.
+    took, used, answers = asyncio.run(asyncio.wait_for(silent_start(tmp_path), 30.0))
+    assert answers[-1] == 200 and {*answers[:-1]} == {503}
+    assert READY_MS / 1000.0 <= took
+    assert READY_MS / 1000.0 + used / SHARE <= 6.0, (took, used)
+
+
 def file_of(module: str) -> str:
     """Beneath the root."""
     path = module.replace(".", "/")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -568,8 +568,9 @@
 
 
 def test_a_new_process_is_ready_in_time_without_a_list_and_sends_nothing_by_an_old_one(tmp_path, monkeypatch):
-    # Nine in ten are to be ready within 10 s, also where discovery is down for longer; rule 3 does not pay.
-    assert watching.READY_MS <= 8000.0 < watching.BLIND_MS
+    # Nine in ten are to be ready within 6 s where the day ends sooner, also where discovery is down for
+    # longer; rule 3 does not pay. How soon a process is, its start counted, is in test_deploy.
+    assert watching.READY_MS <= 4500.0 < watching.BLIND_MS
     monkeypatch.setattr(process, "READY_MS", 200.0)
 
     async def story(square: Square) -> None:
