--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -15,23 +15,32 @@
 
 MOST_HEAD, MOST_FIELDS = 8 * 1024, 64
 MOST_BODY = 64 * 1024
-MOST_ANSWER = 1024 * 1024  # of an answer, as far as there is room
+MOST_LONG = 1024 * 1024  # of a body beyond that, as far as there is room
 # The absolute form of a request's target (RFC 9112, 3.2.2) up to its path: whom it names is who was asked.
 ABSOLUTE = re.compile(rb"(?i:http)://[^/?#]+(?=/)")
 
 
 class Room:
-    """Bytes of bodies beyond MOST_BODY that all readers together may hold. Emptied as messages end."""
+    """Bytes of bodies beyond MOST_BODY that all readers together may hold, each as often as it is held in
+    `copies`. Emptied as the owner lets messages go."""
 
-    def __init__(self, most: int) -> None:
-        self.most, self.held = most, 0
+    def __init__(self, most: int, copies: int = 1) -> None:
+        self.most, self.copies, self.held = most, copies, 0
 
     def claim(self, size: int) -> bool:
-        if self.held + size > self.most:
+        if self.held + size * self.copies > self.most:
             return False
-        self.held += size
+        self.held += size * self.copies
         return True
 
+    def free(self, size: int) -> None:
+        self.held -= size * self.copies
+
+    def let_go(self, message: Message) -> None:
+        """Nobody holds the message's body any more."""
+        size, message.claimed = message.claimed, 0
+        self.free(size)
+
 
 class Fault(Exception):
     """What the peer sent is not to be used; `code` is what a client is told."""
@@ -52,7 +61,7 @@
 class Message:
     """One whole message. A field that came twice holds both values, parted by a comma."""
 
-    __slots__ = ("begun", "body", "fields", "framing", "method", "status", "target")
+    __slots__ = ("begun", "body", "claimed", "fields", "framing", "method", "status", "target")
 
     def __init__(self) -> None:
         self.method = self.target = b""
@@ -60,6 +69,8 @@
         self.fields: dict[bytes, bytes] = {}
         self.body = b""
         self.framing = Framing.NONE
+        self.claimed = 0
+        """Bytes that its body has of the room."""
         self.begun = 0.0
         """When its last byte came, for whoever keeps it waiting."""
 
@@ -163,14 +174,16 @@
         more = size - MOST_BODY - self._claimed
         if more <= 0:
             return
-        if self._room is None or size > MOST_ANSWER or not self._room.claim(more):
+        if self._room is None or size > MOST_LONG:
             raise Fault(413, "the body is too long")
+        if not self._room.claim(more):
+            raise Fault(503, "there is no room for a body as long as this just now")
         self._claimed += more
 
     def let_go(self) -> None:
-        """The body was handed on, or nobody waits for it."""
+        """Nobody waits for the message within any more."""
         if self._room is not None:
-            self._room.held -= self._claimed
+            self._room.free(self._claimed)
         self._claimed = 0
 
     def end(self) -> None:
@@ -186,6 +199,7 @@
         message, self._message = self._message, None
         assert message is not None
         message.body, self._body = bytes(self._body), bytearray()
+        message.claimed, self._claimed = self._claimed, 0
         self._in_head = True
         if not (self._answers and 100 <= message.status < 200):
             self.found.append(message)
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from cherrygrade.held import Held
-from cherrygrade.http.reader import Fault, Message, Reader, closes, connection_options
+from cherrygrade.http.reader import Fault, Message, Reader, Room, closes, connection_options
 from cherrygrade.http.writer import GO_ON, answer
 from cherrygrade.interface import Plan, Workload
 
@@ -118,6 +118,10 @@
     def ready(self) -> bool:
         """Clients may come."""
 
+    @property
+    def long_requests(self) -> Room:
+        """What long bodies share."""
+
     @property
     def buffer(self) -> memoryview:
         """Shared by all: what is read into it is taken out at once."""
@@ -155,7 +159,8 @@
         """When it came, or when the last answer went, or when the message within began."""
         self.ended = False
         """Nothing of it is begun any more: what comes is dropped."""
-        self._reader = Reader(answers=False)
+        self._reader = Reader(answers=False, room=owner.long_requests)
+        self._asked: Message | None = None  # what is open; its body has room until the answer
         self._queue: deque[Message] = deque()
         self._kept = bytearray()
         self._dropped = 0
@@ -210,10 +215,20 @@
         pending, self.open = self.open, None
         if pending is not None:
             self.owner.left(pending)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """What was open holds no body any more."""
+        if self._asked is not None:
+            self.owner.long_requests.let_go(self._asked)
+            self._asked = None
 
     def _stop(self) -> None:
         self.ended = True
+        for message in self._queue:
+            self.owner.long_requests.let_go(message)
         self._queue.clear()
+        self._reader.let_go()
         self._kept.clear()
         self.quiet_from = self.owner.clock()
 
@@ -266,6 +281,7 @@
         """The final answer of the RPC that is open."""
         close = close or self._closes or self.owner.closing
         self.open = None
+        self._let_go()
         self.quiet_from = self.owner.clock()
         if self._transport is None or self.ended:
             return
@@ -352,7 +368,7 @@
     def _begin(self, message: Message) -> None:
         self.spoken = True
         self.owner.spoke(self)
-        self._closes = closes(message)
+        self._asked, self._closes = message, closes(message)
         if message.target == b"/ready" and message.method == b"GET":
             self.answer(200 if self.owner.ready else 503)
             return
--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -74,8 +74,9 @@
         reader = self._reader
         message = reader.found[0]
         more = len(reader.found) > 1 or reader.within or reader.fault is not None
+        for one in reader.found:  # the body is handed on at once
+            self.pool.sockets.room.let_go(one)
         reader.found.clear()
-        reader.let_go()
         self.out = None
         # Where not all of the attempt has left, the rest of it would stand in front of the next one.
         if more or closes(message) or message.framing is not Framing.TOLD or not self.whole:
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -81,8 +81,10 @@
         self.most_lingering = max(4, spare // 16)
         self.most_clients = spare // 2 - self.most_lingering
         self.arrivals: Arrivals[ClientConnection] = Arrivals(self.most_clients, self.most_clients // 2)
-        # What nodes bring and what clients have not taken yet each get a part of the memory.
+        # What nodes bring and what clients have not taken yet each get a part of the memory; so does what
+        # clients bring, which is held twice while it leaves for a node.
         self.room = Room(config.memory_mb * 1024 * 1024 // 4)
+        self.long_requests = Room(config.memory_mb * 1024 * 1024 // 8, copies=2)
         self.sockets = Sockets(spare - spare // 2, self.room)
         module = pairs.dispatcher(make, config.seed)
         self.rounds = Rounds(module, self, self._crashed, lambda text: log("module", text=text))
@@ -318,7 +320,7 @@
     def left(self, pending: PendingRequest) -> None:
         self.left_count += 1
         self.open.pop(pending.call, None)
-        pending.client = None
+        pending.client = pending.body = None
         self.rounds.leave(pending)
         for out in pending.sends:
             pool = self.pools.get(out.node)
--- a/cherrygrade/standin/web.py
+++ b/cherrygrade/standin/web.py
@@ -7,16 +7,19 @@
 from collections import deque
 from typing import Any
 
-from cherrygrade.http.reader import Message, Reader
+from cherrygrade.http.reader import Message, Reader, Room
 from cherrygrade.http.writer import answer
 from cherrygrade.transport.listening import listen
 
+ROOM = 16 * 1024 * 1024  # of bodies on one connection
+
 
 class Peer(asyncio.BufferedProtocol):
     """A connection that a dispatcher made."""
 
     def __init__(self, owner: WebNode | WebDiscovery) -> None:
-        self.owner, self._reader = owner, Reader(answers=False)
+        self.owner, self._room = owner, Room(ROOM)
+        self._reader = Reader(answers=False, room=self._room)
         self._buffer = memoryview(bytearray(16 * 1024))
         self.transport: asyncio.Transport | None = None
 
@@ -33,6 +36,7 @@
         self._reader.feed(bytes(self._buffer[:nbytes]))
         for message in self._reader.found:
             self.owner.got(self, message)
+            self._room.let_go(message)
         self._reader.found.clear()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from square import SETTINGS, Square, ask, play
 
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_CLEAN
+from cherrygrade.http.reader import MOST_BODY, MOST_LONG
 from cherrygrade.http.writer import answer
 from cherrygrade.interface import Outcome, Standing
 from cherrygrade.platform import process, watching
@@ -329,6 +330,87 @@
     play(tmp_path, story)
 
 
+LONG = bytes(range(256)) * 416  # 106,496 bytes, as long as the longest seen
+
+
+def test_a_long_request_is_carried_while_there_is_room_and_none_stays_taken(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=100.0)
+        platform = await square.start()
+        room = platform.long_requests
+        one, two = await square.caller(), await square.caller()
+        # A second one behind it, and one in front: its bytes are read while that one is open.
+        one.writer.write(ask() + ask(method="PUT", body=LONG) + ask(method="PUT", body=LONG))
+        assert [(await one.answer()).status for _ in range(3)] == [200] * 3
+        assert [message.body for message in node.came] == [b"", LONG, LONG] and room.held == 0
+        # As much room as one of them takes, its copy on the way to the node counted.
+        room.most = 2 * (len(LONG) - MOST_BODY)
+        one.writer.write(ask(method="PUT", body=LONG))
+        await square.until(lambda: len(node.came) == 4)
+        refused = await two.call(ask(method="PUT", body=LONG))
+        assert (refused.status, refused.fields[b"connection"]) == (503, b"close")
+        assert (await one.answer()).status == 200 and len(node.came) == 4 and room.held == 0
+        assert (await one.call(ask(method="PUT", body=LONG))).status == 200 and room.held == 0
+
+    play(tmp_path, story)
+
+
+LEFT_AT = {"head": 0, "half": 70_000, "whole": len(LONG), "behind": len(LONG) + 9}
+
+
+@pytest.mark.parametrize("at", LEFT_AT)
+@pytest.mark.parametrize("reset", [False, True], ids=["end", "reset"])
+def test_who_leaves_with_a_long_request_leaves_its_room(tmp_path, at, reset):
+    written = LEFT_AT[at]
+
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        node.script.append(None)
+        caller = await square.caller()
+        head = ask(method="PUT", Content_Length=str(len(LONG)))
+        caller.writer.write(head + (LONG + ask(method="PUT", body=LONG))[:written])
+        await square.until(lambda: platform.long_requests.held and (written < len(LONG) or node.came))
+        if reset:
+            caller.writer.transport.abort()
+        else:
+            caller.writer.close()
+        await square.until(lambda: not platform.clients)
+        assert platform.long_requests.held == 0 and not platform.open
+
+    play(tmp_path, story)
+
+
+def test_who_leaves_with_a_long_request_not_begun_leaves_its_room(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        caller = await square.caller()
+        await square.until(lambda: platform.clients)
+        (client,) = platform.clients
+        client.pause_writing()  # as one that does not take its answers: nothing more is begun for it
+        caller.writer.write(ask(method="PUT", body=LONG))
+        await square.until(lambda: not (client.idle or client.within))
+        assert platform.long_requests.held
+        caller.writer.close()
+        await square.until(lambda: not platform.clients)
+        assert platform.long_requests.held == 0 and not node.came
+
+    play(tmp_path, story)
+
+
+def test_a_request_longer_than_any_room_is_told_so_at_once(tmp_path):
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start()
+        for more in ({"Content_Length": str(MOST_LONG + 1)}, {"Content_Length": "61000000"}):
+            answered = await (await square.caller()).call(ask(method="PUT", **more))
+            assert answered.status == 413
+        assert not node.came and platform.long_requests.held == 0
+
+    play(tmp_path, story)
+
+
 def test_clients_that_take_nothing_are_cut_before_they_use_up_the_memory(tmp_path):
     async def story(square: Square) -> None:
         node = await square.node()
