A connection that comes up late is raced by another and is no trouble of its node

Checked and ruled out: waiting for a connection is 1 ms at the median, 11 at the 90th percentile. At fault: `ConnectionPool._connect`, which gave up and told one late connect as the node's trouble.

Now one that is late is raced by another (RFC 8305) and awaited for 2 s more; two late ones without a sign of life of the node are its trouble.

Cost: a node that vanished is found 250 ms later.

--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -27,6 +27,9 @@
 # Between an answer and the next attempt on its connection. Answers carry no id: a second one that comes late,
 # or the close behind the first, finds the connection free and ends it, and is not taken for the next one's.
 REST_MS = 10.0
+# A connection that is not up after the time for connects is raced by another (RFC 8305, 5) and awaited on: a
+# lost SYN goes again after a second (RFC 6298), so it may be up shortly after that.
+AWAITED_MS = 2000.0
 
 
 class NodeConnection(asyncio.BufferedProtocol):
@@ -35,7 +38,9 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.out: Out | None = None
-        self.ready = self.ended = False
+        self.ready = self.late = self.ended = False
+        """`late`: not up in the time for connects; raced by another since, and not counted as being made."""
+        self.begun_ms = pool.rounds.clock()
         self.quiet_from = 0.0
         self.whole = False  # the last byte of the send is with the system
         self._reader = Reader(answers=True, room=pool.sockets.room)
@@ -175,6 +180,8 @@
         self.free: list[NodeConnection] = []  # the one used last stands last
         self.making = self.made = 0
         self.shaken = False  # the last connect was reset as it came up
+        self.alive_ms = 0.0  # when a connection last came up or an answer came
+        self.late = 0  # connects that were late since then
         self._tasks: set[asyncio.Task[None]] = set()
         self._rest: asyncio.TimerHandle | None = None
 
@@ -254,15 +261,18 @@
 
     async def _connect(self, connection: NodeConnection) -> None:
         loop = asyncio.get_running_loop()
+        patience = loop.call_later(self.connect_ms / 1000.0, self._raced, connection)
         try:
             host, port = self._dial(self.node)
-            async with asyncio.timeout(self.connect_ms / 1000.0):
+            async with asyncio.timeout((self.connect_ms + AWAITED_MS) / 1000.0):
                 await loop.create_connection(lambda: connection, host, port)
         except (OSError, KeyError) as trouble:  # TimeoutError is an OSError
             if connection.ready:
                 return  # it came up in the turn of its time-out, and ends with what was begun on it
             connection.ended = True
             self.lost(connection)
+            if connection.late:
+                return  # what was to be told of it was
             shaken, self.shaken = self.shaken, isinstance(trouble, ConnectionResetError)
             if self.shaken and not shaken:
                 return  # one that is reset as it comes up is its own trouble, two in a row are the node's
@@ -271,12 +281,31 @@
             alive = any(one.ready for one in self.connections)
             while len(self.waiting) > (self.making if alive else 0):
                 self.ended(self.waiting.popleft(), Outcome.UNCONNECTED)
-                if alive or isinstance(trouble, TimeoutError):
+                if alive:
                     break
+        finally:
+            patience.cancel()
+
+    def _raced(self, connection: NodeConnection) -> None:
+        """It is not up in the time for connects. One alone, or beside signs of life, is its own trouble:
+        another is made beside it. Two without any are the node's: an attempt that waits could not connect."""
+        if connection.ready or connection.ended:
+            return
+        connection.late = True
+        self.making -= 1
+        if self.alive_ms < connection.begun_ms:
+            self.late += 1
+            if self.late > 1 and len(self.waiting) > self.making:
+                self.ended(self.waiting.popleft(), Outcome.UNCONNECTED)
+        self.pump()
+
+    def _lives(self) -> None:
+        self.alive_ms, self.late = self.rounds.clock(), 0
 
     def stands(self, connection: NodeConnection) -> None:
         connection.ready, self.shaken = True, False
-        self.making -= 1
+        self._lives()
+        self.making -= not connection.late
         self.made += 1
         self._give(connection, self.rounds.clock() - REST_MS)  # nothing was asked on it yet
 
@@ -292,7 +321,7 @@
         del self.connections[connection]
         self.sockets.used -= 1
         self.sockets.idle.pop(connection, None)
-        if not connection.ready:
+        if not (connection.ready or connection.late):
             self.making -= 1
         if connection in self.free:
             self.free.remove(connection)
@@ -300,6 +329,7 @@
             asyncio.get_running_loop().call_soon(self.pump)
 
     def answered(self, connection: NodeConnection, out: Out, message: Message) -> None:
+        self._lives()
         fields = message.fields
         if message.status == 200 and message.framing is not Framing.NONE:
             outcome = Outcome.OK
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,6 +263,78 @@
     play(tmp_path, story)
 
 
+def late_connects(square: Square, waits: list[float]) -> None:
+    """Connections to nodes come up this many s late, at once when none is left to say."""
+    loop = asyncio.get_running_loop()
+    real = loop.create_connection
+
+    async def connect(factory, host, port):
+        await asyncio.sleep(waits.pop(0) if waits else 0.0)
+        return await real(factory, host, port)
+
+    loop.create_connection = connect
+
+
+def test_a_connection_that_comes_up_late_is_raced_and_is_no_trouble_of_its_node(tmp_path):
+    # It was told as a node that cannot be reached: that struck it, and struck twice it passed for cold.
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        caller = await square.caller()
+        await square.until(lambda: square.discovery.peers)
+        late_connects(square, [1.2])
+        assert (await caller.call(ask(X_Budget_Ms="1100"))).status == 200
+        assert platform.rounds.module.told == [Outcome.OK] and node.made == 1
+        await square.until(lambda: node.made == 2)  # the late one is there for whoever comes next
+        (pool,) = platform.pools.values()
+        assert (len(pool.free), pool.making, platform.sockets.used) == (2, 0, 2)
+
+    play(tmp_path, story)
+
+
+def test_late_connections_beside_signs_of_life_are_no_trouble_of_their_node(tmp_path):
+    # Two at once are late, while a third one carries an answer.
+    async def story(square: Square) -> None:
+        node = await square.node(work_ms=150.0)
+        platform = await square.start(Watched)
+        callers = [await square.caller() for _ in range(3)]
+        await square.until(lambda: square.discovery.peers)
+        (lane,) = platform.rounds.module.lanes.values()
+        lane.window = 6.0
+        calls = [asyncio.create_task(callers[0].call(ask(X_Budget_Ms="2000")))]
+        await square.until(lambda: node.came)
+        late_connects(square, [3.0, 3.0])
+        node.work_ms = 300.0  # one of them finds the first one's connection free, the other does not in time
+        calls += [asyncio.create_task(one.call(ask(X_Budget_Ms="2000"))) for one in callers[1:]]
+        assert [answered.status for answered in await asyncio.gather(*calls)] == [200] * 3
+        assert platform.rounds.module.told == [Outcome.OK] * 3
+
+    play(tmp_path, story)
+
+
+def test_a_node_on_which_no_connection_comes_up_could_not_be_reached(tmp_path, monkeypatch):
+    # Two in a row without a sign of life; none is awaited for ever, and none is left.
+    monkeypatch.setattr(nodes, "AWAITED_MS", 700.0)
+
+    async def story(square: Square) -> None:
+        node = await square.node()
+        platform = await square.start(Watched)
+        caller = await square.caller()
+        await square.until(lambda: square.discovery.peers)
+        late_connects(square, [9.0] * 20)
+        begun = time.monotonic()
+        answering = asyncio.create_task(caller.call(ask(X_Budget_Ms="1500")))
+        told = platform.rounds.module
+        await square.until(lambda: getattr(told, "told", []))
+        assert told.told[0] is Outcome.UNCONNECTED and time.monotonic() - begun >= 0.5
+        assert (await answering).status == 503 and not node.made
+        await square.until(lambda: not platform.sockets.used)
+        (pool,) = platform.pools.values()
+        assert not (pool.connections or pool.waiting or pool.making)
+
+    play(tmp_path, story)
+
+
 def test_a_connection_just_answered_on_rests_before_it_is_used(tmp_path):
     # A node that closes behind its answer is not heard to do so yet: the next send there would be reset. One
     # whose second answer comes late would be heard as the next send's.
