Tests side by side by pytest-xdist; those with real processes and seconds last, in a row

script/pytest makes two calls: workers for all that can be side by side, then one process for tests marked `alone`. Both verdicts count, a call that finds no test is red. KNOWN-RED.txt holds over both and with workers: the list is read in each process, each call looks for a listed test among those of both (what is `long` is none of them, which was passed over in silence before), and a listed test that is skipped is red.

Ports: tests chose a free one, let it go and started a process on it, or came back to one after a restart. A dispatcher that failed at its start left the others of its company running: they are ended now.

test_platform, what a silent node holds is answered before the kill, was red once between workers at a load of 11 (answers in the last ms before a kill): it and its neighbour are `alone`.

--- a/tests/house.py
+++ b/tests/house.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from places import release, reserve
+
 from cherrygrade.client import Client
 from cherrygrade.gateway.process import Gateway
 from cherrygrade.interface import ColdStart, Earnings, Effect, Permits, Plan, ResendBudget, Workload
@@ -33,15 +35,21 @@
 class House:
     def __init__(self) -> None:
         self.nodes: list[Node] = []
-        self.register = Register("127.0.0.1:0")
+        self.places: list[str] = []
+        self.register = Register(self.reserve(1)[0])
         self.gateways: list[Gateway] = []
         self.clients: list[Client] = []
         self.logs: list[tuple[str, dict[str, Any]]] = []
 
+    def reserve(self, count: int) -> list[str]:
+        """Places for whatever starts in this house, given back with its end."""
+        self.places += (found := reserve(count))
+        return found
+
     async def node(
         self, shard: int = 0, build: Build | None = None, zone: str = "z", *, listed: bool = True
     ) -> Node:
-        node = Node("127.0.0.1:0", build or Build(unit_ms=1.0, put_off=0.0))
+        node = Node(self.reserve(1)[0], build or Build(unit_ms=1.0, put_off=0.0))
         await node.start()
         self.nodes.append(node)
         if listed:
@@ -69,7 +77,7 @@
     async def gateway(
         self, *, bounds: Bounds | None = None, lines: Lines | None = None, **more: Any
     ) -> Gateway:
-        if self.register.address.endswith(":0"):
+        if self.register._server is None:
             await self.register.start()
         number, dispatchers = more.get("number", 0), more.get("dispatchers", 1)
         budget: ResendBudget | None = more.get("budget")
@@ -116,6 +124,7 @@
         for node in self.nodes:
             node.close()
         self.register.close()
+        release(*self.places)
         await asyncio.sleep(0.01)
         for gateway in self.gateways:  # whatever a story did, no body's room may be lost by it
             store = gateway.rooms.store
--- a/tests/started.py
+++ b/tests/started.py
@@ -6,12 +6,12 @@
 import json
 import resource
 import signal
-import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import psutil
+from places import release, reserve
 from square import SETTINGS, Caller, ask
 
 from cherrygrade.standin.web import WebDiscovery, WebNode
@@ -32,11 +32,10 @@
         await self.discovery.open()
         await self.node.open()
         self.discovery.tell(self.node.entry())
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+        self.place = reserve(1)[0]
+        self.port = int(self.place.rpartition(":")[2])
         config = self.folder / "config.json"
-        told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address}
+        told = {"name": "n0", "listen": self.place, "discovery": self.discovery.address}
         told |= {"seed": "1", "limits": {"sockets": SOCKETS, "memory_mb": 64}, "settings": SETTINGS}
         config.write_text(json.dumps(told))
         self.log = (self.folder / "log").open("w+b")
@@ -87,6 +86,7 @@
             caller.writer.close()
         self.process.send_signal(signal.SIGTERM)
         code = await asyncio.wait_for(self.process.wait(), 10.0)
+        release(self.place)
         self.discovery.close()
         self.node.close()
         return code
--- a/tests/test_council_processes.py
+++ b/tests/test_council_processes.py
@@ -10,12 +10,15 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from house import House, run
 from test_fleet_processes import ROOT, Company
 
 from cherrygrade.fleet.carriers.disk import found
 from cherrygrade.standin.receiver import judge
 
+pytestmark = pytest.mark.alone
+
 LEASE_MS = 1500.0
 VOTERS = ["d0", "d1", "d2"]
 TASKS = [f"t{at}" for at in range(12)]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from places import release, reserve
 from square import SETTINGS, Caller, ask
 
 from cherrygrade.standin.web import WebDiscovery, WebNode
@@ -77,10 +78,9 @@
     await node.open()
     await discovery.open()
     discovery.tell(node.entry())
-    hold = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    port = hold.sockets[0].getsockname()[1]
-    hold.close()
-    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": discovery.address, "seed": "8c"}
+    place = reserve(1)[0]
+    port = int(place.rpartition(":")[2])
+    config = {"name": "n0", "listen": place, "discovery": discovery.address, "seed": "8c"}
     config |= {"settings": SETTINGS, "known": {"seq": 1, "whole": True, "hosts": [node.entry()]}}
     (folder / "config.json").write_text(json.dumps(config))
     (folder / "sitecustomize.py").write_text(NOTES)
@@ -118,6 +118,7 @@
             await process.wait()
         node.close()
         discovery.close()
+        release(place)
 
 
 def play(life: Coroutine[Any, Any, Started]) -> Started:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -5,18 +5,21 @@
 import asyncio
 import json
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
+import pytest
 from house import House, run
+from places import release, reserve
 
 from cherrygrade.client import Client, Ok
 from cherrygrade.fleet.carriers.ask import ask
 
+pytestmark = pytest.mark.alone
+
 ROOT = Path(__file__).parent.parent
 COUNT = 5
 SITE = """
@@ -35,32 +38,12 @@
 """
 
 
-def both_ports(count: int) -> list[str]:
-    """Places free for streams and datagrams alike, bound together so that they differ."""
-    holds: list[socket.socket] = []
-    places = []
-    while len(places) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind(("127.0.0.1", 0))
-        word = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        holds += [stream, word]
-        try:
-            word.bind(stream.getsockname())
-        except OSError:
-            continue
-        places.append(f"127.0.0.1:{stream.getsockname()[1]}")
-    for hold in holds:
-        hold.close()
-    return places
-
-
 class Company:
     """Processes of the program, by number; ended by id."""
 
     def __init__(self, folder: Path, register: str, count: int = COUNT, fleet: bool = True) -> None:
         self.folder, self.register, self.count, self.fleet = folder, register, count, fleet
-        found = both_ports(2 * count)
-        self.listens, self.places = found[:count], found[count:]
+        self.listens, self.places = reserve(count), reserve(count)
         self.running: dict[int, asyncio.subprocess.Process] = {}
 
     async def start(self, number: int, *flags: str) -> None:
@@ -79,15 +62,17 @@
                 sys.executable, *flags, "-m", "cherrygrade", "serve", str(file),
                 cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=log,
             )  # fmt: skip
+        self.running[number] = process  # also of one that fails at its start: none is left behind
         assert process.stdout is not None
         assert b"listening" in await process.stdout.readline()
-        self.running[number] = process
 
     def more(self, number: int) -> str:
         return ""
 
     async def all_start(self) -> None:
-        await asyncio.gather(*(self.start(number) for number in range(self.count)))
+        starts = [self.start(number) for number in range(self.count)]
+        for failed in filter(None, await asyncio.gather(*starts, return_exceptions=True)):
+            raise failed
 
     async def kill(self, number: int) -> None:
         process = self.running.pop(number)
@@ -116,8 +101,10 @@
 
     async def close(self) -> None:
         for process in self.running.values():
-            process.kill()
+            if process.returncode is None:
+                process.kill()
             await process.wait()
+        release(*self.listens, *self.places)
 
 
 def play(story: Callable[[House, Company], Coroutine[Any, Any, None]], folder: Path, **more: Any) -> None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -6,11 +6,14 @@
 import socket
 
 import psutil
+import pytest
 from square import ask
 from started import SOCKETS, Started
 
 from cherrygrade.http.reader import Reader
 
+pytestmark = pytest.mark.alone
+
 CUT = ask()[:-2]  # its head does not end
 # What each kind writes, and what it is told; None: a close will do.
 KINDS: dict[str, tuple[list[bytes], int | None]] = {
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,8 +1,11 @@
-"""What KNOWN-RED.txt does to a run, played on a folder with two tests of its own."""
+"""What KNOWN-RED.txt does to a run, played on a folder with tests of its own: in one process, between
+workers, and over both calls of script/pytest.
+"""
 
 from __future__ import annotations
 
 import os
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -14,23 +17,53 @@
 RED = "test_it.py::test_red | a fault | 36\n"
 
 
-def run(folder: Path, listed: str | None, *more: str) -> subprocess.CompletedProcess[str]:
-    (folder / "test_it.py").write_text(TESTS)
-    (folder / "pytest.ini").write_text("[pytest]\n")
+WORKERS = [[], ["-n", "2"]]
+PLUGINS = ["-p", "known_red", "-p", "no:cacheprovider"]
+
+
+def lay(folder: Path, tests: str, listed: str | None, line: list[str]) -> subprocess.CompletedProcess[str]:
+    (folder / "test_it.py").write_text(tests)
+    (folder / "pytest.ini").write_text("[pytest]\nmarkers =\n    long\n    alone\n")
     if listed is not None:
         (folder / "KNOWN-RED.txt").write_text(listed)
     return subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "known_red", "-p", "no:cacheprovider", "--known-red", *more],
+        line,
         cwd=folder,
-        env={**os.environ, "PYTHONPATH": str(HERE)},
+        env={
+            **os.environ,
+            "PYTHONPATH": str(HERE),
+            "PYTHON": sys.executable,
+            "PYTEST_XDIST_AUTO_NUM_WORKERS": "2",
+        },
         capture_output=True,
         text=True,
         check=False,
     )
 
 
-def test_a_listed_test_is_passed_over_and_told(tmp_path):
-    done = run(tmp_path, RED)
+def run(folder: Path, listed: str | None, *more: str) -> subprocess.CompletedProcess[str]:
+    return lay(folder, TESTS, listed, [sys.executable, "-m", "pytest", *PLUGINS, "--known-red", *more])
+
+
+def both(folder: Path, listed: str | None, *tests: tuple[str, str, bool]) -> subprocess.CompletedProcess[str]:
+    """Both calls over tests, each of a name, a mark and whether it is green."""
+    text = "import pytest\n"
+    for name, mark, green in tests:
+        text += f"\n@pytest.mark.{mark}\n" if mark else "\n"
+        text += f"def test_{name}():\n    assert {green}\n"
+    return lay(folder, text, listed, [str(HERE.parent / "script" / "pytest"), *PLUGINS])
+
+
+def counts(done: subprocess.CompletedProcess[str]) -> list[dict[str, int]]:
+    """What each call's closing line says, but for what the other call plays."""
+    lines = re.findall(r"^=+ (.*) in [0-9.]+s =+$", done.stdout, re.MULTILINE)
+    found = [{kind: int(count) for count, kind in re.findall(r"(\d+) (\w+)", line)} for line in lines]
+    return [{kind: count for kind, count in one.items() if kind != "deselected"} for one in found]
+
+
+@pytest.mark.parametrize("workers", WORKERS)
+def test_a_listed_test_is_passed_over_and_told(tmp_path, workers):
+    done = run(tmp_path, RED, *workers)
     assert done.returncode == 0 and "1 passed, 1 xfailed" in done.stdout
     assert "known red: test_it.py::test_red: a fault (issue 36)" in done.stdout
 
@@ -41,11 +74,13 @@
     assert done.returncode == 1 and "1 failed, 1 passed" in done.stdout and "known red" not in done.stdout
 
 
-def test_a_listed_test_that_passes_is_red(tmp_path):
-    done = run(tmp_path, RED + "test_it.py::test_green | a fault | 36\n")
+@pytest.mark.parametrize("workers", WORKERS)
+def test_a_listed_test_that_passes_is_red(tmp_path, workers):
+    done = run(tmp_path, RED + "test_it.py::test_green | a fault | 36\n", *workers)
     assert done.returncode == 1 and "1 failed, 1 xfailed" in done.stdout
 
 
+@pytest.mark.parametrize("workers", WORKERS)
 @pytest.mark.parametrize(
     "listed, why",
     [
@@ -55,6 +90,45 @@
         ("test_it.py::test_red | | 36\n", "line 1"),
     ],
 )
-def test_one_that_is_not_found_a_fourth_line_and_a_line_without_its_cause_are_red(tmp_path, listed, why):
-    done = run(tmp_path, listed)
+def test_one_that_is_not_found_a_fourth_line_and_a_line_without_its_cause_are_red(
+    tmp_path, listed, why, workers
+):
+    done = run(tmp_path, listed, *workers)
     assert done.returncode not in (0, 1) and why in done.stdout + done.stderr
+
+
+BESIDE, ALONE = ("beside", "", True), ("alone", "alone", True)
+
+
+def test_both_calls_run_each_its_own_tests_once_and_nothing_that_is_long(tmp_path):
+    long = ("later", "long", False), ("late", "alone\n@pytest.mark.long", False)
+    done = both(tmp_path, None, BESIDE, ALONE, *long)
+    assert done.returncode == 0 and counts(done) == [{"passed": 1}, {"passed": 1}]
+
+
+@pytest.mark.parametrize("red", [0, 1])
+def test_either_call_is_enough_to_be_red_and_the_other_is_played_all_the_same(tmp_path, red):
+    tests = [(name, mark, at != red) for at, (name, mark, _) in enumerate((BESIDE, ALONE))]
+    done = both(tmp_path, None, *tests)
+    assert done.returncode == 1
+    assert counts(done)[red] == {"failed": 1} and counts(done)[1 - red] == {"passed": 1}
+    assert ("with 1, in a row with 0" if red == 0 else "with 0, in a row with 1") in done.stdout
+
+
+@pytest.mark.parametrize("there", [BESIDE, ALONE])
+def test_a_call_that_finds_no_test_is_red(tmp_path, there):
+    done = both(tmp_path, None, there)
+    assert done.returncode == 1 and "with 5" in done.stdout
+
+
+def test_a_listed_test_is_found_in_either_call_and_told_once(tmp_path):
+    listed = "".join(f"test_it.py::test_{name} | a fault | 36\n" for name in ("red", "one"))
+    done = both(tmp_path, listed, BESIDE, ALONE, ("red", "", False), ("one", "alone", False))
+    assert done.returncode == 0 and counts(done) == [{"passed": 1, "xfailed": 1}] * 2
+    assert done.stdout.count("known red: ") == 2
+
+
+@pytest.mark.parametrize("mark", ["long", "skip"])
+def test_a_listed_test_that_neither_call_plays_is_red(tmp_path, mark):
+    done = both(tmp_path, "test_it.py::test_red | a fault | 36\n", BESIDE, ALONE, ("red", mark, False))
+    assert done.returncode == 1 and "test_it.py::test_red" in done.stdout
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -116,6 +116,7 @@
     assert 17 in day.convicted()
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize("seed", [1])
 def test_a_day_of_processes_with_faults_between_them_keeps_every_rule_and_promise(tmp_path, seed):
     line = [sys.executable, "-m", "cherrygrade", "lab", "fleet", "scenarios/fleet-selfcheck.rec"]
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -8,11 +8,14 @@
 import sys
 from pathlib import Path
 
+import pytest
 from house import House, run
-from test_words import ports
+from places import release, reserve
 
 from cherrygrade.client import Client, Ok
 
+pytestmark = pytest.mark.alone
+
 ROOT = Path(__file__).parent.parent
 
 OLD = """
@@ -30,7 +33,7 @@
 
 class Fleet:
     def __init__(self, folder: Path, register: str) -> None:
-        self.listens, self.places, self.folder, self.register = ports(3), ports(3), folder, register
+        self.listens, self.places, self.folder, self.register = reserve(3), reserve(3), folder, register
         self.running: dict[int, asyncio.subprocess.Process] = {}
         self.logs: list[str] = []
 
@@ -101,5 +104,6 @@
             for process in fleet.running.values():
                 process.kill()
                 await process.wait()
+            release(*fleet.listens, *fleet.places)
 
     run(story, 40.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -632,6 +632,7 @@
     play(tmp_path, story)
 
 
+@pytest.mark.alone
 def test_an_order_to_leave_serves_on_until_shortly_before_the_kill(tmp_path):
     # Its successor comes at the platform's time: whoever is sent away sooner finds nobody.
     async def story(square: Square) -> None:
@@ -661,6 +662,7 @@
     play(tmp_path, story)
 
 
+@pytest.mark.alone
 def test_what_a_silent_node_holds_is_answered_before_the_kill_and_nobody_waits_for_none(tmp_path):
     async def story(square: Square) -> None:
         node = await square.node()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -140,11 +140,12 @@
         gateway = await house.gateway(pace=SMALL, bounds=SMALL_BODIES)
         client = house.client(gateway)  # brings a line to the node
         assert isinstance(await client.read("read", "v", "r", shard=0, length=10, deadline_ms=1400), Ok)
+        store = gateway.rooms.store
+        assert await until(lambda: store.used == 0)  # the read's purse is given back now and then
         node.silent = True
         sock = await raw(
             house, "gone", encode(WriteRpc(1, "write", "v", "k", 0, 0, 600.0), 100 * K) + b"x" * 100 * K
         )
-        store = gateway.rooms.store
         assert await until(lambda: any(line[1] == "silent" for line in node.record.lines))
         sock.close()
         assert await until(lambda: all(one.name != "gone" for one in gateway.sessions))
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from dataclasses import replace
 from pathlib import Path
 
@@ -18,15 +17,6 @@
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.rec"
 
 
-def ports(count: int) -> list[str]:
-    """Free ports of loopback; bound together, so that they differ."""
-    holds = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    places = [f"127.0.0.1:{hold.getsockname()[1]}" for hold in holds]
-    for hold in holds:
-        hold.close()
-    return places
-
-
 async def pair(house: House, places: list[str]):
     permits = replace(PERMITS, peers=True)
     return [
@@ -51,7 +41,7 @@
 def test_what_one_dispatcher_sends_is_told_to_the_one_that_keeps_the_node():
     async def story(house: House) -> None:
         node = await house.node()
-        gateways = await pair(house, ports(2))
+        gateways = await pair(house, house.reserve(2))
         modules = [gateway.rounds.module for gateway in gateways]
         lane = next(iter(modules[0].lanes.values()))
         keeper = lane.place % 2
@@ -77,7 +67,7 @@
 def test_nonsense_at_the_words_place_ends_that_connection_only():
     async def story(house: House) -> None:
         await house.node()
-        places = ports(2)
+        places = house.reserve(2)
         gateways = await pair(house, places)
         host, _, port = places[0].rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -105,7 +95,7 @@
 def test_a_dispatcher_of_another_fleet_and_one_that_does_not_say_hello_are_told_why():
     async def story(house: House) -> None:
         await house.node()
-        places = ports(2)
+        places = house.reserve(2)
         gateways = await pair(house, places)
         assert b"another fleet" in await knock(places[0], Hello(1, "peer", "x", ["1/3"]))
         assert b"another fleet" in await knock(places[0], Hello(1, "peer", "x", ["0/2"]))  # it is itself 0
@@ -120,7 +110,7 @@
 def test_a_flood_of_words_is_dropped_and_nonsense_counted_and_nobody_is_hurt():
     async def story(house: House) -> None:
         await house.node()
-        places = ports(2)
+        places = house.reserve(2)
         gateways = await pair(house, places)
         client = house.client(gateways[0])
         host, _, port = places[0].rpartition(":")
@@ -138,7 +128,7 @@
 def test_a_dispatcher_that_is_away_costs_words_and_no_answer():
     async def story(house: House) -> None:
         await house.node()
-        gateways = await pair(house, ports(2))
+        gateways = await pair(house, house.reserve(2))
         gateways[1]._end(0)
         await use(house.client(gateways[0]), 10)
         words = gateways[0].words
