--- a/cherrygrade/lab/rig/roles.py
+++ b/cherrygrade/lab/rig/roles.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import json
-import os
 import signal
 import zlib
 from pathlib import Path
@@ -53,11 +52,6 @@
 
 
 async def run_ways(count: int, port: int, bound: int, fleet: str, seed: int, record: Path | None) -> None:
-    try:
-        # It is the network, no process of the fleet: among two hundred that starve it would make all late.
-        os.setpriority(os.PRIO_PROCESS, 0, -15)
-    except PermissionError:
-        pass
     ways = Ways(count, port, bound, fleet, seed, record)
     control = await ways.start("127.0.0.1:0")
     print(f"listening {control}", flush=True)
