Scale run: its report no longer imports what imports it

Seen: tests/test_arrows.py found a circle, lab.scale.run and lab.scale.report. The report names what it reads of a run by a protocol of its own.

--- a/cherrygrade/lab/scale/report.py
+++ b/cherrygrade/lab/scale/report.py
@@ -3,22 +3,41 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import psutil
 
 from cherrygrade.lab.scale import sums
 from cherrygrade.lab.scale.judge import Promise
-from cherrygrade.lab.scale.plan import need
-from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase
-
-if TYPE_CHECKING:
-    from cherrygrade.lab.scale.run import Run
+from cherrygrade.lab.scale.plan import Need, Scale, Step, need
+from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase, Seen
 
 MIB = 1024 * 1024
 
 
+class Named(Protocol):
+    name: str
+
+
+class Run(Protocol):
+    """What a run came to, as far as it is reported; by moment, member or process where it is a dict."""
+
+    scale: Scale
+    steps: list[Step]
+    phases: dict[str, Phase]
+    asked: dict[str, dict[str, dict[str, Any]]]
+    facts: dict[str, Any]
+    seen: dict[str, list[Seen]]
+    most: Need
+    cut_short: str
+
+    @property
+    def bare(self) -> Sequence[Named]:
+        """Processes of dispatchers without a fleet."""
+
+
 def made(
     run: Run,
     command: str,
