--- /dev/null
+++ b/cherrygrade/gateway/inforce.py
@@ -0,0 +1,134 @@
+"""Settings that come into force while the module runs: all that hangs on them, changed between two rounds.
+
+`terms` builds the whole of it and may fail; `put` only assigns, so nothing of it is ever half in force. Free
+of I/O, clock and chance; times in ms, units as the module's.
+
+Rules 4 and 7 hold over all dispatchers while some go by the settings before and some by these, and also where
+one dispatcher goes over in the middle of a span (docs/config-in-force.md):
+
+- Each part is a limit over a divisor. With equal divisors a mix of two sums to no more than the larger limit.
+- Where divisors move, first each uses the smaller of its two parts (`old`), and parts grow only once all do
+  so. A part of a cold node that may grow begins empty for a span: what others sent by theirs before is over.
+- A store is a token bucket, so parts of a limit may grow at once: more is earned, nothing is given. Where the
+  depth falls as the rate rises, the store falls by that much: else it had the depth of one limit, the rate of
+  the other. What had no part, or was not limited, begins with an empty store, as after a start.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
+
+from cherrygrade.interface import Workload
+from cherrygrade.policy import NEVER, SHARE_PART, Dispatcher
+from cherrygrade.policy import Volume as Due
+from cherrygrade.site import Bearings, Site, Trade
+
+
+@dataclass(frozen=True, slots=True)
+class Old:
+    """What parts were dealt out over before, while they move: dispatchers, and hosts by volume."""
+
+    dispatchers: int
+    hosts: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """All that the module goes by. `trade`: with the hosts that parts are dealt out over now; `fewest`: the
+    smaller number of hosts while that moves; `counts`: dispatchers likewise, one or two numbers."""
+
+    trade: Trade
+    bearings: Bearings
+    counts: tuple[int, ...]
+    fewest: dict[str, int]
+    top: float
+    tight: float
+
+
+def terms(site: Site, old: Old | None = None) -> Terms:
+    """`old`: while parts move. Raises ValueError where something would be dealt out over nobody."""
+    dispatchers, volumes, fewest = site.place.dispatchers, {}, {}
+    for name, volume in site.trade.volumes.items():
+        before = old.hosts.get(name, volume.hosts) if old is not None else volume.hosts
+        if min(before, volume.hosts) < 1:
+            raise ValueError(f"volumes.{name}.hosts: dealt out over nobody")
+        volumes[name] = replace(volume, hosts=max(before, volume.hosts))
+        fewest[name] = min(before, volume.hosts)
+    counts = (
+        (dispatchers,) if old is None or old.dispatchers == dispatchers else (old.dispatchers, dispatchers)
+    )
+    if min(counts) < 1:
+        raise ValueError("place.dispatchers: parts dealt out over nobody")
+    works: list[Workload] = list(site.trade.workloads.values())
+    top = max((work.value for work in works), default=1.0)
+    tight = min((work.soft_ms for work in works), default=1000.0)
+    return Terms(
+        replace(site.trade, volumes=volumes), site.bearings, counts, fewest, float(top), float(tight)
+    )
+
+
+def put(module: Dispatcher, into: Terms, now: float, yielded: bool) -> None:
+    """`yielded`: the dispatcher had no part until now. The company is told of the new counts here."""
+    gate, company, bearings = module.gate, module.company, into.bearings
+    grows = yielded or not {*company.counts} <= {*into.counts}
+    blank = grows or gate.cold.span_ms != bearings.cold.span_ms
+    before = module.earnings, module.tight
+    company.counts, company.dispatchers = into.counts, into.counts[-1]
+    module.earnings, module.permits = bearings.earnings, bearings.permits
+    module.top, module.tight = into.top, into.tight
+    module.ask_spread = max(1000.0, 25.0 * into.counts[-1])
+    if gate.budget is None or bearings.budget is None:  # nothing was counted, or nothing is any more
+        gate.taken.clear()
+        gate.further.clear()
+    gate.cold, gate.budget, gate.permits = bearings.cold, bearings.budget, bearings.permits
+    gate.part, gate.key_rest_ms = bearings.earnings.mean_units, bearings.key_rest_ms
+    for name, due in _dues(module):
+        _deal(due, name, into, now, yielded, before[0] != bearings.earnings)
+    if blank:
+        gate.begun = now
+    for lane in [*module.lanes.values(), module.unplaced]:
+        lane.tight = into.tight
+        if lane.answer_ms == before[1]:  # nothing was answered yet
+            lane.answer_ms = into.tight
+        if lane.quiet_ms == before[1]:
+            lane.quiet_ms = max(lane.quiet_ms, min(into.tight, lane.answer_ms))
+        if blank:
+            lane.cold = [(now, NEVER)]
+
+
+def _dues(module: Dispatcher) -> Iterator[tuple[str, Due]]:
+    """Each volume that lives once; one that its RPCs alone still hold too."""
+    seen = set()
+    for name, due in [
+        *module.volumes.items(),
+        *((job.rpc.volume, job.volume) for job in module.jobs.values()),
+    ]:
+        if id(due) not in seen:
+            seen.add(id(due))
+            yield name, due
+
+
+def _deal(due: Due, name: str, into: Terms, now: float, yielded: bool, earns: bool) -> None:
+    dealt = into.trade.volumes.get(name)
+    due.pass_time(now)
+    if yielded:
+        due.store = 0.0
+    if dealt is None:  # RPCs of it that are held end as they were taken
+        return
+    was, plan, hosts = due.plan, dealt.plan, dealt.hosts
+    if was == plan and due.hosts == hosts and not earns:
+        return
+    if not was.limit_rate:
+        due.store = 0.0
+    elif plan.limit_rate > was.limit_rate and plan.limit_depth < was.limit_depth:
+        falls = (was.limit_depth - plan.limit_depth) / min(into.fewest[name], due.hosts)
+        due.store = max(due.store - falls, -was.limit_depth / due.hosts)
+    earnings = into.bearings.earnings
+    due.plan, due.hosts = plan, hosts
+    due.store = min(due.store, plan.limit_depth / hosts)
+    due.part = 1.0 if earnings.tells_elsewhere else 1.0 / hosts
+    due.depth = plan.reserve_rate * due.part + earnings.largest_units
+    due.pot = min(due.pot, due.depth)
+    due.most = plan.usual_rate * SHARE_PART
+    due.open = min(due.open, due.most)
--- a/cherrygrade/interface.py
+++ b/cherrygrade/interface.py
@@ -198,10 +198,13 @@
     them as they were numbered; a host whose dispatchers know each other gives another."""
 
     yields = False
-    """This dispatcher's parts of cold nodes and of limits are another's."""
+    """This dispatcher's parts of cold nodes and of limits are another's, or nobody's as yet."""
 
     def __init__(self, dispatchers: int) -> None:
         self.dispatchers = dispatchers
+        self.counts: tuple[int, ...] = (dispatchers,)
+        """Dispatchers that parts are dealt out over: two numbers while parts move from one to the other, and
+        then each uses the smaller of its two parts. One that is numbered outside of either `yields`."""
 
     def keeper(self, node: int) -> int:
         """Number of the dispatcher that keeps the node, told by the mark that words name it by; -1:
--- a/cherrygrade/policy.py
+++ b/cherrygrade/policy.py
@@ -326,7 +326,6 @@
     def __init__(self, number: int, company: Company, part: float, cold: ColdStart,
                  budget: ResendBudget | None, permits: Permits, key_rest_ms: float) -> None:
         self.number, self.company, self.part, self.cold = number, company, part, cold
-        self.dispatchers = company.dispatchers
         self.budget, self.permits, self.key_rest_ms, self.begun = budget, permits, key_rest_ms, NEVER
         self.taken: deque[float] = deque()  # both drop what left the budget's span
         self.further: deque[float] = deque()
@@ -367,10 +366,11 @@
         # One unit at a time, as slowly as this dispatcher's answers come in the mean, any node can do.
         borne = max(cold.units, cold.multiple * cold.share * cold.span_ms / lane.others.quiet_ms)
         borne *= 1.0 + (1.0 / max(cold.share, 0.01) - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms
-        part = max(borne / self.dispatchers, self.part)
-        place = (self.number + crc32(lane.node.address.encode())) % self.dispatchers
-        spent = sum(units for at, units in lane.cold if at >= now - cold.span_ms)
-        return part * ((place + 1) * part < borne + 1e-6 and not self.company.yields) - spent
+        room, mark = NEVER, self.number + crc32(lane.node.address.encode())
+        for count in self.company.counts:  # while parts move, the smaller of two
+            part = max(borne / count, self.part)
+            room = min(room, part * ((mark % count + 1) * part < borne + 1e-6 and not self.company.yields))
+        return room - sum(units for at, units in lane.cold if at >= now - cold.span_ms)
 
     def may_reject(self, rpc: Rpc) -> bool:
         ran = any(send.outcome is None or not send.outcome.never_ran for send in rpc.sends)
