--- a/cherrygrade/fleet/config/versions.py
+++ b/cherrygrade/fleet/config/versions.py
@@ -11,6 +11,8 @@
 
 import hashlib
 from collections import OrderedDict
+from difflib import SequenceMatcher
+from functools import cached_property
 
 import msgspec
 
@@ -78,7 +80,7 @@
 Any_ = Put | Settle
 
 
-class Version(msgspec.Struct, array_like=True, frozen=True):
+class Version(msgspec.Struct, array_like=True, frozen=True, dict=True):
     """One version. `before`: digest of the one before it. `old`: the divisors that parts move away from, None
     where none move; `moved`: the version with which that move began (0: none moves)."""
 
@@ -91,10 +93,11 @@
     old: Divisors | None = None
     moved: int = 0
 
-    @property
+    @cached_property
     def digest(self) -> bytes:
-        """32 bytes, over all of it."""
-        raise NotImplementedError
+        """32 bytes, over all of it and the digest before."""
+        told = (self.number, self.text, self.by, self.at, self.now, self.old, self.moved)
+        return hashlib.sha256(self.before + msgspec.msgpack.encode(told)).digest()
 
     @property
     def mark(self) -> int:
@@ -137,22 +140,51 @@
 
 def difference(old: str, new: str) -> tuple[Hunk, ...]:
     """By lines, in order."""
-    raise NotImplementedError
+    was, told = old.splitlines(keepends=True), new.splitlines(keepends=True)
+    most = min(len(was), len(told))
+    head = next((at for at in range(most) if was[at] != told[at]), most)
+    tail = next((at for at in range(most - head) if was[-1 - at] != told[-1 - at]), most - head)
+    was, told = was[head : len(was) - tail], told[head : len(told) - tail]
+    if len(was) + len(told) > MOST_LINES:
+        return (Hunk(head, len(was), tuple(told)),)
+    codes = SequenceMatcher(None, was, told, autojunk=False).get_opcodes()
+    return tuple(Hunk(head + a, b - a, tuple(told[c:d])) for kind, a, b, c, d in codes if kind != "equal")
 
 
 def patched(old: str, hunks: tuple[Hunk, ...]) -> str:
-    """ValueError where the hunks do not fit."""
-    raise NotImplementedError
+    """WrongContent where the hunks do not fit."""
+    was, done = old.splitlines(keepends=True), 0
+    lines: list[str] = []
+    for hunk in hunks:
+        if hunk.at < done or hunk.drop < 0 or hunk.at + hunk.drop > len(was):
+            raise WrongContent("a difference that does not fit what it is against")
+        lines += was[done : hunk.at]
+        lines += hunk.lines
+        done = hunk.at + hunk.drop
+    return "".join([*lines, *was[done:]])
 
 
 def content(version: Version, base: Version | None) -> Content:
     """What is sent to who holds `base` (None: nothing): the difference where it is smaller, else whole."""
-    raise NotImplementedError
+    if base is not None:
+        hunks = difference(base.text, version.text)
+        if len(msgspec.msgpack.encode(hunks)) < len(version.text.encode()):
+            return Content(msgspec.structs.replace(version, text=""), base.number, hunks)
+    return Content(version)
 
 
-def taken(came: Content, stage: int, mark: int, base: Version | None) -> Version:
+def taken(came: Content, number: int, mark: int, base: Version | None) -> Version:
     """The whole version, checked by its digest against what witnesses said; WrongContent else."""
-    raise NotImplementedError
+    version = came.version
+    if came.base:
+        if base is None or base.number != came.base:
+            raise WrongContent("a difference against what is not held")
+        version = msgspec.structs.replace(version, text=patched(base.text, came.hunks))
+    if len(version.text.encode()) > MOST_TEXT:
+        raise WrongContent(f"more than {MOST_TEXT} bytes")
+    if (version.number, version.mark) != (number, mark):
+        raise WrongContent("its digest is not the one that witnesses told")
+    return version
 
 
 def encode(op: Any_) -> bytes:
@@ -198,13 +230,73 @@
     def apply(self, index: int, payload: bytes) -> Told:
         """One agreed entry, without the log's prefix. One that can't be read does nothing, on every voter
         alike."""
-        raise NotImplementedError
+        try:
+            op = decode(payload)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return Told(waits="an entry that can't be read")
+        self.now = max(self.now, op.at)
+        if isinstance(op, Settle):
+            return self._settle(op)
+        if op.id not in self.asks:
+            self.asks[op.id] = self._put(op)
+            while len(self.asks) > MOST_ASKS:
+                self.asks.popitem(last=False)
+        return self.asks[op.id]
+
+    def _put(self, op: Put) -> Told:
+        newest, number = self.newest, self._number()
+        if op.based_on != number:
+            return Told(waits=f"{number} is the newest, not {op.based_on}: look at it, then put again")
+        try:
+            text = op.text if op.text is not None else patched(newest.text if newest else "", op.hunks)
+        except WrongContent as wrong:
+            return Told(waits=str(wrong))
+        if text_digest(text) != op.digest:
+            return Told(waits="its text is not the one that its digest is of")
+        if len(text.encode()) > MOST_TEXT:
+            return Told(waits=f"more than {MOST_TEXT} bytes")
+        was = newest.now if newest is not None else op.old
+        old, moved = None, 0
+        if was is not None and was != op.now:
+            if self.moving:
+                return Told(waits=f"parts still move: wait {number}")
+            old, moved = was, number + 1
+        elif newest is not None and self.moving:
+            old, moved = newest.old, newest.moved
+        before = newest.digest if newest is not None else NO_DIGEST
+        version = Version(number + 1, before, text, op.by, self.now, op.now, old, moved)
+        self.kept[version.number] = version
+        if old is None:
+            self.settled = version.number
+        self._bound()
+        return self._told(version)
+
+    def _settle(self, op: Settle) -> Told:
+        newest = self.newest
+        if newest is None or not self.moving or self.moving != op.number:
+            return Told(waits=f"no parts move since {op.number}")
+        self.settled = newest.number
+        return self._told(newest)
+
+    def _number(self) -> int:
+        newest = self.newest
+        return newest.number if newest is not None else 0
+
+    def _told(self, version: Version) -> Told:
+        return Told(version.number, self.stage, version.mark)
+
+    def _bound(self) -> None:
+        length = sum(len(one.text.encode()) for one in self.kept.values())
+        while len(self.kept) > 1 and (len(self.kept) > MOST_KEPT or length > MOST_KEPT_BYTES):
+            length -= len(self.kept.popitem(last=False)[1].text.encode())
 
     def state(self) -> State:
-        raise NotImplementedError
+        return State(self.now, [*self.kept.values()], self.settled, [*self.asks.items()])
 
     def restore(self, state: State) -> None:
-        raise NotImplementedError
+        self.now, self.settled = state.now, state.settled
+        self.kept = OrderedDict((one.number, one) for one in state.kept)
+        self.asks = OrderedDict(state.asks)
 
     def snapshot(self) -> bytes:
         return msgspec.msgpack.encode(self.state())
--- /dev/null
+++ b/tests/test_config_versions.py
@@ -0,0 +1,211 @@
+"""The order of versions: one chain, alike on every voter, whatever comes twice, late or torn."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cherrygrade.fleet.config import versions
+from cherrygrade.fleet.config.versions import Divisors, Put, Settle, Versions, WrongContent, encode
+
+NINE, TWELVE = Divisors(9, (("v", 9),)), Divisors(12, (("v", 12),))
+
+
+def put(id: str, based_on: int, text: str, now: Divisors = NINE, old: Divisors | None = NINE) -> bytes:
+    return encode(Put(1.0, id, based_on, text, (), versions.text_digest(text), "ann", now, old))
+
+
+def ordered(*payloads: bytes) -> Versions:
+    found = Versions()
+    for index, payload in enumerate(payloads):
+        found.apply(index + 1, payload)
+    return found
+
+
+def test_a_version_that_moves_no_parts_is_settled_at_once() -> None:
+    log = Versions()
+    assert log.stage == 0
+    told = log.apply(5, put("a", 0, "x: 1\n"))
+    assert (told.number, told.stage, told.waits) == (1, 3, "")
+    assert log.newest is not None and told.mark == log.newest.mark != 0
+    assert log.apply(6, put("b", 1, "x: 2\n")).stage == 5
+
+
+def test_the_same_id_again_gives_the_same_answer_and_does_nothing() -> None:
+    log = Versions()
+    first = log.apply(1, put("a", 0, "x: 1\n"))
+    log.apply(2, put("b", 1, "x: 2\n"))
+    assert log.apply(3, put("a", 0, "x: 1\n")) == first
+    assert log.stage == 5
+
+
+def test_of_two_operators_at_once_the_second_is_told_to_look() -> None:
+    log = ordered(put("a", 0, "x: 1\n"))
+    log.apply(2, put("b", 1, "x: 2\n"))
+    told = log.apply(3, put("c", 1, "x: 3\n"))
+    assert told.number == 0 and "2 is the newest, not 1" in told.waits
+    assert log.newest is not None and log.newest.text == "x: 2\n"
+    assert log.apply(4, put("c", 1, "x: 3\n")) == told
+
+
+def test_parts_that_move_are_joint_until_they_are_settled() -> None:
+    log = ordered(put("a", 0, "x: 1\n"))
+    assert log.apply(2, put("b", 1, "n: 12\n", TWELVE)).stage == 4
+    assert log.moving == 2 and log.newest is not None and log.newest.old == NINE
+    refused = log.apply(3, put("c", 2, "n: 9\n", NINE))
+    assert refused.waits == "parts still move: wait 2"
+    assert log.apply(4, put("d", 2, "n: 12\nx: 2\n", TWELVE)).stage == 6  # others pass, and stay joint
+    assert log.newest.old == NINE and log.newest.moved == 2
+    assert log.apply(5, encode(Settle(1.0, 3))).waits and log.stage == 6
+    assert log.apply(6, encode(Settle(1.0, 2))).stage == 7
+    assert log.apply(7, encode(Settle(1.0, 2))).waits and log.stage == 7
+    assert log.apply(8, put("e", 3, "n: 9\n", NINE)).stage == 8 and log.moving == 4
+
+
+def test_a_settle_of_an_earlier_move_settles_no_later_one() -> None:
+    """What a deposed leader wrote late."""
+    log = ordered(put("a", 0, "1", TWELVE), encode(Settle(1.0, 1)), put("b", 1, "2", NINE))
+    assert log.moving == 2
+    assert log.apply(4, encode(Settle(2.0, 1))).waits and log.moving == 2
+
+
+def test_the_first_version_moves_away_from_the_own_files_parts() -> None:
+    log = ordered(put("a", 0, "n: 12\n", TWELVE, NINE))
+    assert log.stage == 2 and log.newest is not None and log.newest.old == NINE
+
+
+def test_an_entry_that_cannot_be_read_does_nothing() -> None:
+    log = ordered(put("a", 0, "x: 1\n"))
+    before = log.snapshot()
+    for payload in (b"", b"\xc1", b"\x93\xa1v", put("b", 1, "y")[:-3], msgspec.msgpack.encode(["z", 1.0])):
+        assert log.apply(2, payload).waits == "an entry that can't be read"
+    assert log.snapshot() == before
+
+
+def test_a_text_that_is_not_its_digests_or_too_long_is_refused() -> None:
+    log = Versions()
+    op = Put(1.0, "a", 0, "x: 1\n", (), versions.text_digest("x: 2\n"), "ann", NINE, NINE)
+    assert "digest" in log.apply(1, encode(op)).waits and log.stage == 0
+    long = "x" * (versions.MOST_TEXT + 1)
+    assert "bytes" in log.apply(2, put("b", 0, long)).waits and log.stage == 0
+
+
+def test_a_difference_counts_only_against_what_it_is_based_on() -> None:
+    log = ordered(put("a", 0, "one\ntwo\nthree\n"))
+    hunks = versions.difference("one\ntwo\nthree\n", "one\n2\nthree\n")
+    text = versions.text_digest("one\n2\nthree\n")
+    assert log.apply(2, encode(Put(1.0, "b", 1, None, hunks, text, "ann", NINE))).number == 2
+    assert log.newest is not None and log.newest.text == "one\n2\nthree\n"
+    far = (versions.Hunk(7, 1, ("x",)),)
+    assert "does not fit" in log.apply(3, encode(Put(1.0, "c", 2, None, far, text, "ann", NINE))).waits
+
+
+def test_the_digest_is_a_chain_over_all_of_a_version() -> None:
+    one, other = ordered(put("a", 0, "1"), put("b", 1, "2")), ordered(put("a", 0, "?"), put("b", 1, "2"))
+    assert one.newest is not None and other.newest is not None
+    assert one.newest.text == other.newest.text and one.newest.mark != other.newest.mark
+    for field, value in (("text", "3"), ("by", "bob"), ("now", TWELVE), ("old", TWELVE), ("moved", 9)):
+        assert msgspec.structs.replace(one.newest, **{field: value}).digest != one.newest.digest
+
+
+def test_the_snapshot_keeps_the_newest_within_its_bounds() -> None:
+    log = Versions()
+    for number in range(40):
+        log.apply(number, put(str(number), number, f"x: {number}\n"))
+    assert [*log.kept] == [*range(9, 41)]
+    again = Versions()
+    again.restore_bytes(log.snapshot())
+    assert (again.stage, again.snapshot()) == (log.stage, log.snapshot())
+    big = "y" * versions.MOST_TEXT
+    for number in range(40, 60):
+        log.apply(number, put(str(number), number, big))
+    assert sum(len(one.text) for one in log.kept.values()) <= versions.MOST_KEPT_BYTES
+    assert log.newest is not None and log.newest.number == 60
+    many = Versions()
+    for number in range(400):
+        many.apply(number, put(str(number), 7, ""))
+    assert len(many.asks) == versions.MOST_ASKS
+
+
+text_ = st.text(alphabet="ab\n\r\u2028", max_size=40)
+
+
+@given(text_, text_)
+def test_a_difference_gives_the_new_text(old: str, new: str) -> None:
+    assert versions.patched(old, versions.difference(old, new)) == new
+
+
+def test_a_long_difference_is_one_piece() -> None:
+    old = "".join(f"{n}\n" for n in range(3000))
+    new = "".join(f"{n}x\n" for n in range(3000))
+    hunks = versions.difference(old, "0\n" + new)
+    assert len(hunks) == 1 and versions.patched(old, hunks) == "0\n" + new
+
+
+@given(st.lists(st.tuples(st.integers(-2, 6), st.integers(-2, 6))))
+def test_no_hunks_do_more_than_be_refused(spans: list[tuple[int, int]]) -> None:
+    hunks = tuple(versions.Hunk(at, drop) for at, drop in spans)
+    try:
+        assert len(versions.patched("a\nb\nc\n", hunks)) <= 6
+    except WrongContent:
+        pass
+
+
+def test_content_is_taken_only_whole_and_by_digest() -> None:
+    log = ordered(put("a", 0, "one\ntwo\nthree\nfour\n" * 9), put("b", 1, "one\n2\n" + "three\nfour\n" * 9))
+    first, second = log.kept[1], log.kept[2]
+    came = versions.content(second, first)
+    assert came.base == 1 and came.version.text == ""
+    assert versions.taken(came, 2, second.mark, first) == second
+    assert versions.taken(versions.content(second, None), 2, second.mark, None) == second
+    forged = msgspec.structs.replace(came, hunks=(*came.hunks[:-1],))
+    for wrong, number, mark, base in (
+        (came, 2, second.mark, None),
+        (came, 2, second.mark, second),
+        (came, 2, second.mark + 1, first),
+        (came, 3, second.mark, first),
+        (forged, 2, second.mark, first),
+        (versions.Content(msgspec.structs.replace(second, old=TWELVE)), 2, second.mark, None),
+        (versions.Content(msgspec.structs.replace(second, text="x")), 2, second.mark, None),
+    ):
+        with pytest.raises(WrongContent):
+            versions.taken(wrong, number, mark, base)
+
+
+def test_where_all_differs_content_goes_whole() -> None:
+    log = ordered(put("a", 0, "a\nb\n"), put("b", 1, "c\nd\n"))
+    assert versions.content(log.kept[2], log.kept[1]) == versions.Content(log.kept[2])
+
+
+ops = st.lists(
+    st.one_of(
+        st.builds(
+            lambda id, based, text, now: put(id, based, text, now),
+            st.sampled_from("abcdef"),
+            st.integers(0, 4),
+            st.sampled_from(["1", "2"]),
+            st.sampled_from([NINE, TWELVE]),
+        ),
+        st.builds(lambda number: encode(Settle(1.0, number)), st.integers(0, 5)),
+        st.binary(max_size=6),
+    ),
+    max_size=12,
+)
+
+
+@given(ops, st.integers(0, 12))
+def test_voters_agree_and_the_stage_never_goes_back(entries: list[bytes], cut: int) -> None:
+    """One that goes on from a snapshot comes to the same; parts never move from what was not settled."""
+    one, other = Versions(), Versions()
+    for index, payload in enumerate(entries):
+        if index == cut:
+            fresh = Versions()
+            fresh.restore_bytes(other.snapshot())
+            other = fresh
+        stage, newest, moving = one.stage, one.newest, one.moving
+        assert one.apply(index, payload) == other.apply(index, payload)
+        assert one.snapshot() == other.snapshot() and one.stage >= stage
+        if one.newest is not newest and one.newest is not None and newest is not None:
+            assert one.newest.number == newest.number + 1 and one.newest.before == newest.digest
+            if one.newest.now != newest.now:
+                assert not moving and one.newest.old == newest.now
