--- a/cherrygrade/fleet/config/versions.py
+++ b/cherrygrade/fleet/config/versions.py
@@ -18,6 +18,7 @@
 
 MOST_TEXT = 262_144  # bytes of a version's text, UTF-8
 MOST_KEPT, MOST_KEPT_BYTES = 32, 2_097_152  # versions that a snapshot keeps whole; the newest stays always
+MOST_GONE = 4096  # volumes that went and may be in use yet by who was cut off
 MOST_ASKS = 256  # answers kept for who asks again
 MOST_LINES = 2000  # lines between common ends that are compared one by one; of more a difference is one piece
 NO_DIGEST = bytes(32)  # before the first
@@ -39,6 +40,14 @@
         return dict(self.hosts).get(volume, 0)
 
 
+def moves(old: Divisors, now: Divisors) -> Divisors | None:
+    """What parts move away from: of `old` the seats, and the volumes that both know and deal out otherwise;
+    None where nothing moves. A volume that comes has no parts yet, one that goes has none any more."""
+    told = dict(now.hosts)
+    hosts = tuple((volume, count) for volume, count in old.hosts if told.get(volume, count) != count)
+    return Divisors(old.dispatchers, hosts) if hosts or old.dispatchers != now.dispatchers else None
+
+
 class Hunk(msgspec.Struct, array_like=True, frozen=True):
     """From line `at` (0 the first, of the text before) `drop` lines are replaced by these (ends kept)."""
 
@@ -81,7 +90,7 @@
 
 
 class Version(msgspec.Struct, array_like=True, frozen=True, dict=True):
-    """One version. `before`: digest of the one before it. `old`: the divisors that parts move away from, None
+    """One version. `before`: digest of the one before it. `old`: what parts move away from (`moves`), None
     where none move; `moved`: the version with which that move began (0: none moves)."""
 
     number: int
@@ -89,14 +98,13 @@
     text: str
     by: str
     at: float
-    now: Divisors
     old: Divisors | None = None
     moved: int = 0
 
     @cached_property
     def digest(self) -> bytes:
         """32 bytes, over all of it and the digest before."""
-        told = (self.number, self.text, self.by, self.at, self.now, self.old, self.moved)
+        told = (self.number, self.text, self.by, self.at, self.old, self.moved)
         return hashlib.sha256(self.before + msgspec.msgpack.encode(told)).digest()
 
     @property
@@ -122,6 +130,8 @@
     now: float
     kept: list[Version]
     settled: int
+    parts: Divisors | None
+    gone: dict[str, int]
     asks: list[tuple[str, Told]]
 
 
@@ -203,12 +213,17 @@
 
 class Versions:
     """`kept`: by number, the newest MOST_KEPT as far as MOST_KEPT_BYTES hold them; `settled`: the newest
-    version whose parts are settled, with all before it; `asks`: the last MOST_ASKS answers."""
+    version whose parts are settled, with all before it; `asks`: the last MOST_ASKS answers. `parts`: how the
+    newest deals out, with volumes that went (`gone`, since which number): who was cut off since may use its
+    part yet, so that one that comes again moves from it. They go as a later move is settled, which proves
+    that nobody is on such a version."""
 
     def __init__(self) -> None:
         self.now = 0.0
         self.kept: OrderedDict[int, Version] = OrderedDict()
         self.settled = 0
+        self.parts: Divisors | None = None
+        self.gone: dict[str, int] = {}
         self.asks: OrderedDict[str, Told] = OrderedDict()
 
     @property
@@ -255,17 +270,21 @@
             return Told(waits="its text is not the one that its digest is of")
         if len(text.encode()) > MOST_TEXT:
             return Told(waits=f"more than {MOST_TEXT} bytes")
-        was = newest.now if newest is not None else op.old
-        old, moved = None, 0
-        if was is not None and was != op.now:
-            if self.moving:
-                return Told(waits=f"parts still move: wait {number}")
-            old, moved = was, number + 1
-        elif newest is not None and self.moving:
-            old, moved = newest.old, newest.moved
+        was = self.parts or op.old
+        old, moved = moves(was, op.now) if was is not None else None, number + 1
+        if old is not None and self.moving:
+            return Told(waits=f"parts still move: wait {number}")
+        if old is None:
+            old, moved = (newest.old, newest.moved) if newest is not None and self.moving else (None, 0)
+        told, gone = {name for name, _ in op.now.hosts}, [] if was is None else [*was.hosts]
+        gone = [one for one in gone if one[0] not in told]
+        if len(gone) > MOST_GONE:
+            return Told(waits=f"more than {MOST_GONE} volumes went since parts were settled last")
         before = newest.digest if newest is not None else NO_DIGEST
-        version = Version(number + 1, before, text, op.by, self.now, op.now, old, moved)
+        version = Version(number + 1, before, text, op.by, self.now, old, moved)
         self.kept[version.number] = version
+        self.gone = {name: self.gone.get(name, version.number) for name, _ in gone}
+        self.parts = Divisors(op.now.dispatchers, tuple(sorted([*op.now.hosts, *gone])))
         if old is None:
             self.settled = version.number
         self._bound()
@@ -276,6 +295,11 @@
         if newest is None or not self.moving or self.moving != op.number:
             return Told(waits=f"no parts move since {op.number}")
         self.settled = newest.number
+        past = {name for name, since in self.gone.items() if since <= op.number}
+        self.gone = {name: since for name, since in self.gone.items() if name not in past}
+        assert self.parts is not None
+        hosts = tuple(one for one in self.parts.hosts if one[0] not in past)
+        self.parts = Divisors(self.parts.dispatchers, hosts)
         return self._told(newest)
 
     def _number(self) -> int:
@@ -291,10 +315,12 @@
             length -= len(self.kept.popitem(last=False)[1].text.encode())
 
     def state(self) -> State:
-        return State(self.now, [*self.kept.values()], self.settled, [*self.asks.items()])
+        kept, asks = [*self.kept.values()], [*self.asks.items()]
+        return State(self.now, kept, self.settled, self.parts, dict(self.gone), asks)
 
     def restore(self, state: State) -> None:
         self.now, self.settled = state.now, state.settled
+        self.parts, self.gone = state.parts, dict(state.gone)
         self.kept = OrderedDict((one.number, one) for one in state.kept)
         self.asks = OrderedDict(state.asks)
 
--- /dev/null
+++ b/tests/test_config_live.py
@@ -0,0 +1,123 @@
+"""What may change while a dispatcher runs: a setting that is new is not live unseen."""
+
+from dataclasses import fields, is_dataclass
+from pathlib import Path
+
+import pytest
+
+from cherrygrade.fleet.config.live import LIVE, Changes, _keys, changes, divisors
+from cherrygrade.fleet.config.versions import Divisors
+from cherrygrade.records.load import read_site
+from cherrygrade.site import Site
+
+TEXT = """
+place: {name: "a", register: "127.0.0.1:1", dispatchers: 9}
+workloads: read: {soft_ms: 100, deadline_ms: 400}
+plans: gold: {limit_rate: 900, limit_depth: 90}
+plans: iron: {limit_rate: 90, limit_depth: 9}
+volumes: v: {plan: plans.gold}
+volumes: w: {plan: plans.gold, hosts: 3}
+budget: {spare: 4, share: 0.1, span_ms: 1000}
+fleet: {name: "f", place: "127.0.0.1:2", council: {voters: ["b"]}}
+"""
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    found = tmp_path / "a.rec"
+    found.write_text(TEXT)
+    return found
+
+
+def differ(file: Path, extra: str) -> Changes:
+    return changes(read_site(file), read_site(file, extra))
+
+
+@pytest.mark.parametrize(
+    "extra, live",
+    [
+        ("plans: gold: limit_rate: 1000", ["plans.gold.limit_rate"]),
+        ("plans: iron: limit_rate: 1000", []),  # no volume has it
+        ("workloads: read: soft_ms: 90", ["workloads.read.soft_ms"]),
+        ("cold: units: 3", ["cold.units"]),
+        ("budget: {spare: 5, share: 0.1, span_ms: 1000}", ["budget.spare"]),
+        ("bounds: most_held: 9", ["bounds.most_held"]),
+        ("permits: most_sends: 2", ["permits.most_sends"]),
+        ("earnings: beyond: 0.5", ["earnings.beyond"]),
+        ("volumes: x: {plan: plans.gold, hosts: 2}", ["volumes.x.hosts", "volumes.x.plan"]),
+    ],
+)
+def test_live(file: Path, extra: str, live: list[str]) -> None:
+    assert differ(file, extra) == Changes(live, [], None)
+
+
+@pytest.mark.parametrize(
+    "extra, key",
+    [
+        ("place: listen: '127.0.0.1:9'".replace("'", '"'), "place.listen"),
+        ("place: number: 1", "place.number"),
+        ("place: seed: 2", "place.seed"),
+        ('workloads: read: effect: "tokened"', "workloads.read.effect"),
+        ("workloads: read: in_order: true", "workloads.read.in_order"),
+        ("key_rest_ms: 5", "key_rest_ms"),
+        ("earnings: mean_units: 2", "earnings.mean_units"),
+        ("earnings: tells_elsewhere: false", "earnings.tells_elsewhere"),
+        ("measure: bytes_per_unit: 1", "measure.bytes_per_unit"),
+        ("permits: must_ask: true", "permits.must_ask"),
+        ("bounds: most_body: 65536", "bounds.most_body"),
+        ("bounds: most_clients: 9", "bounds.most_clients"),
+        ("lines: most: 2", "lines.most"),
+        ("extents: merge: false", "extents.merge"),
+        ("peers: floor: 1", "peers.floor"),
+        ('fleet: name: "g"', "fleet.name"),
+        ('fleet: council: voters: ["c"]', "fleet.council.voters"),
+    ],
+)
+def test_needs_a_restart(file: Path, extra: str, key: str) -> None:
+    assert differ(file, extra).restart == [key]
+
+
+def test_budget_that_comes_is_live(file: Path, tmp_path: Path) -> None:
+    other = tmp_path / "b.rec"
+    other.write_text(TEXT.replace("budget: {spare: 4, share: 0.1, span_ms: 1000}", ""))
+    found = changes(read_site(other), read_site(file))
+    assert found.live == ["budget.share", "budget.span_ms", "budget.spare"] and not found.restart
+
+
+def test_divisors_move(file: Path) -> None:
+    assert divisors(read_site(file)) == Divisors(9, (("v", 9), ("w", 3)))
+    more = differ(file, "place: dispatchers: 12")
+    assert more.live == ["place.dispatchers", "volumes.v.hosts"] and not more.restart
+    assert more.divisors == Divisors(9, (("v", 9),))
+    assert differ(file, "volumes: w: hosts: 2").divisors == Divisors(9, (("w", 3),))
+    assert differ(file, "volumes: x: {plan: plans.gold, hosts: 2}").divisors is None
+
+
+def test_every_setting_is_looked_at(file: Path) -> None:
+    """A field that is added to a site's parts is a key here, or one of those known to hang on others."""
+    keys = {key.rpartition(".")[2] for key in _keys(read_site(file))}
+
+    def all_of(made: type) -> set[str]:
+        found: set[str] = set()
+        for field in fields(made):
+            found.add(field.name)
+        return found
+
+    site = read_site(file)
+    derived = {"join_length", "join_most", "unit_length", "least_units"}
+    parts = [site.place, site.bounds, site.lines, site.cuts, site.pace, site.words, site.fleet]
+    bearings = [getattr(site.bearings, one.name) for one in fields(site.bearings)]
+    trade = [site.trade.measure, *site.trade.workloads.values(), site.trade.volumes["v"].plan]
+    for part in [*parts, *bearings, *trade]:
+        if is_dataclass(part):
+            assert all_of(type(part)) - keys <= derived | {"council"}
+    assert {one.name for one in fields(Site)} == {
+        "place", "trade", "bearings", "bounds", "lines", "cuts", "pace", "words", "fleet",
+    }  # fmt: skip
+
+
+def test_the_table_names_settings_that_there_are(file: Path) -> None:
+    keys = _keys(read_site(file))
+    for part, names in LIVE.items():
+        for name in names:
+            assert any(key.startswith(f"{part}.") and key.endswith(f".{name}") for key in keys), (part, name)
--- a/tests/test_config_versions.py
+++ b/tests/test_config_versions.py
@@ -104,7 +104,7 @@
     one, other = ordered(put("a", 0, "1"), put("b", 1, "2")), ordered(put("a", 0, "?"), put("b", 1, "2"))
     assert one.newest is not None and other.newest is not None
     assert one.newest.text == other.newest.text and one.newest.mark != other.newest.mark
-    for field, value in (("text", "3"), ("by", "bob"), ("now", TWELVE), ("old", TWELVE), ("moved", 9)):
+    for field, value in (("text", "3"), ("by", "bob"), ("at", 9.0), ("old", TWELVE), ("moved", 9)):
         assert msgspec.structs.replace(one.newest, **{field: value}).digest != one.newest.digest
 
 
@@ -202,10 +202,48 @@
             fresh = Versions()
             fresh.restore_bytes(other.snapshot())
             other = fresh
-        stage, newest, moving = one.stage, one.newest, one.moving
+        stage, newest, moving, was = one.stage, one.newest, one.moving, one.parts
         assert one.apply(index, payload) == other.apply(index, payload)
         assert one.snapshot() == other.snapshot() and one.stage >= stage
         if one.newest is not newest and one.newest is not None and newest is not None:
             assert one.newest.number == newest.number + 1 and one.newest.before == newest.digest
-            if one.newest.now != newest.now:
-                assert not moving and one.newest.old == newest.now
+            if was is not None and one.parts != was:
+                assert not moving and one.newest.old == was
+
+
+def test_a_volume_that_comes_or_goes_moves_no_parts() -> None:
+    two = Divisors(9, (("v", 9), ("w", 3)))
+    log = ordered(put("a", 0, "1", NINE), put("b", 1, "2", two), put("c", 2, "3", NINE))
+    assert log.stage == 7 and log.moving == 0
+
+
+def test_a_volume_that_comes_again_moves_from_the_parts_that_it_had() -> None:
+    """Who was cut off since before it went may use the old ones yet."""
+    two, three = Divisors(9, (("v", 9), ("w", 2))), Divisors(9, (("v", 9), ("w", 3)))
+    log = ordered(put("a", 0, "1", two, two), put("b", 1, "2", NINE))
+    assert log.gone == {"w": 2}
+    again = Versions()
+    again.restore_bytes(log.snapshot())
+    assert again.apply(3, put("c", 2, "3", three)).stage == 6
+    assert again.newest is not None and again.newest.old == Divisors(9, (("w", 2),))
+    assert again.gone == {}
+
+
+def test_what_went_is_forgotten_once_a_later_move_is_settled() -> None:
+    two = Divisors(9, (("v", 9), ("w", 2)))
+    log = ordered(put("a", 0, "1", two, two), put("b", 1, "2", NINE), put("c", 2, "3", TWELVE))
+    log.apply(4, put("d", 3, "4", Divisors(12)))
+    assert log.gone == {"w": 2, "v": 4}
+    log.apply(5, encode(Settle(1.0, 3)))
+    assert log.gone == {"v": 4}  # who is on 3 has v yet
+    assert log.apply(6, put("e", 4, "5", Divisors(12, (("w", 5),)))).stage == 11
+    many = Divisors(12, tuple((str(n), 1) for n in range(versions.MOST_GONE + 1)))
+    log.apply(7, put("f", 5, "6", many))
+    assert "volumes went" in log.apply(8, put("g", 6, "7", TWELVE)).waits
+
+
+def test_of_a_move_only_what_differs_is_told() -> None:
+    old = Divisors(9, (("a", 1), ("b", 2), ("c", 3)))
+    assert versions.moves(old, Divisors(9, (("b", 2), ("c", 4), ("d", 5)))) == Divisors(9, (("c", 3),))
+    assert versions.moves(old, Divisors(9, (("d", 5),))) is None
+    assert versions.moves(old, Divisors(10, old.hosts)) == Divisors(9)
