--- a/cherrygrade/fleet/config/parts.py
+++ b/cherrygrade/fleet/config/parts.py
@@ -74,7 +74,7 @@
         self.said: dict[tuple[str, int], int] = {}
         self.asked: dict[str, tuple[int, float]] = {}
         self.rounds = 0  # that are over
-        self._count = 0
+        self._count = crc32(f"{seed}:{stage}:{now!r}".encode())  # no lead's nonces are another's
         self._next_at = now
 
     def answered(self, name: str, birth: int, stage: int, nonce: int) -> None:
@@ -138,7 +138,7 @@
         found = []
         for name in waiting[:AT_ONCE]:
             self._count += 1
-            nonce = crc32(f"{self.seed}:{self.stage}:{self._count}".encode()) | 1
+            nonce = crc32(f"{self.seed}:{self._count}".encode()) | 1
             self.asked[name] = (nonce, now)
             found.append((name, nonce))
         self._next_at = now + AT_ONCE * 1000.0 / ASKS_A_S
