--- a/cherrygrade/fleet/config/replica.py
+++ b/cherrygrade/fleet/config/replica.py
@@ -346,7 +346,7 @@
             at = min(at, min(asked for _, asked in self._asks.values()) + ASK_MS)
         if self._question is not None:
             at = min(at, self._question.next_at)
-        if not self.sure:
+        elif not self.sure and self._names:
             at = min(at, self._unsure_at)
         if 0.0 < self._full_at < NEVER:
             at = min(at, self._full_at + LINGER_MS)
@@ -417,7 +417,6 @@
             ]
             if len(by) >= WITNESSES or any(name in self.voters for name in by):
                 self._heard = True
-                self._look_sure()
                 if told > self._believed[0]:
                     self._believed = (told, mark)
                     for name in by:
@@ -425,6 +424,7 @@
                     self._tried.clear()
                     self._fetch_at = 0.0
                     self._stirred = True
+                self._look_sure()
 
     def _advance(self, now: float) -> Does:
         """Into force with what is held and believed."""
