Settings in force while the module runs: parts over two counts, rules 4 and 7 for any mix

Gate.cold_room takes the smaller of its rooms over Company.counts; with one count decisions are those of before, bit for bit (test against the text of before). gateway/inforce.py builds the terms whole and puts them in between rounds: rates, stores, lanes, permits. Greedy seats that go over at times of their own are judged from their sends: 78 days hold. Seen to fail without its guard: no empty span where parts may grow (8 days), no empty store for a seat that had no part (1), no fall of the store where a depth falls as the rate rises (3), no new beginning for nodes heard of late (2).

--- a/cherrygrade/fleet/carriers/company.py
+++ b/cherrygrade/fleet/carriers/company.py
@@ -10,15 +10,15 @@
 
 
 class Fellows(Company):
-    """Seats are the dispatchers' numbers."""
+    """Seats are the dispatchers' numbers. `has`: False where the configuration gives this one no part."""
 
     def __init__(self, core: Core, number: int) -> None:
         super().__init__(core.record)
-        self.core, self.number = core, number
+        self.core, self.number, self.has = core, number, True
 
     @property
     def yields(self) -> bool:  # type: ignore[override]
-        return self.core.yields
+        return self.core.yields or not self.has
 
     def keeper(self, node: int) -> int:
         return self.core.keepers.keeper(node)
--- a/cherrygrade/gateway/inforce.py
+++ b/cherrygrade/gateway/inforce.py
@@ -16,65 +16,60 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
+from cherrygrade.fleet.carriers.company import Fellows
+from cherrygrade.fleet.config.parts import Parts
+from cherrygrade.fleet.config.versions import Divisors
 from cherrygrade.interface import Workload
 from cherrygrade.policy import NEVER, SHARE_PART, Dispatcher
 from cherrygrade.policy import Volume as Due
 from cherrygrade.site import Bearings, Site, Trade
 
 
-@dataclass(frozen=True, slots=True)
-class Old:
-    """What parts were dealt out over before, while they move: dispatchers, and hosts by volume."""
-
-    dispatchers: int
-    hosts: Mapping[str, int] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class Terms:
     """All that the module goes by. `trade`: with the hosts that parts are dealt out over now; `fewest`: the
-    smaller number of hosts while that moves; `counts`: dispatchers likewise, one or two numbers."""
+    smaller number of hosts while that moves; `counts`: dispatchers likewise, one or two numbers; `has`: False
+    where this dispatcher has no part."""
 
     trade: Trade
     bearings: Bearings
     counts: tuple[int, ...]
     fewest: dict[str, int]
+    has: bool
     top: float
     tight: float
 
 
-def terms(site: Site, old: Old | None = None) -> Terms:
-    """`old`: while parts move. Raises ValueError where something would be dealt out over nobody."""
-    dispatchers, volumes, fewest = site.place.dispatchers, {}, {}
+def terms(site: Site, parts: Parts, old: Divisors | None = None) -> Terms:
+    """`old`: what parts were dealt out over before, while they move. Raises ValueError where something would
+    be dealt out over nobody."""
+    volumes, fewest = {}, {}
     for name, volume in site.trade.volumes.items():
-        before = old.hosts.get(name, volume.hosts) if old is not None else volume.hosts
-        if min(before, volume.hosts) < 1:
+        hosts = parts.hosts.get(name, volume.hosts)
+        fewest[name] = min(hosts, volume.hosts, (old.of(name) if old is not None else 0) or hosts)
+        if fewest[name] < 1:
             raise ValueError(f"volumes.{name}.hosts: dealt out over nobody")
-        volumes[name] = replace(volume, hosts=max(before, volume.hosts))
-        fewest[name] = min(before, volume.hosts)
-    counts = (
-        (dispatchers,) if old is None or old.dispatchers == dispatchers else (old.dispatchers, dispatchers)
-    )
-    if min(counts) < 1:
+        volumes[name] = replace(volume, hosts=hosts)
+    if not parts.counts or min(parts.counts) < 1:
         raise ValueError("place.dispatchers: parts dealt out over nobody")
     works: list[Workload] = list(site.trade.workloads.values())
     top = max((work.value for work in works), default=1.0)
     tight = min((work.soft_ms for work in works), default=1000.0)
-    return Terms(
-        replace(site.trade, volumes=volumes), site.bearings, counts, fewest, float(top), float(tight)
-    )
+    trade = replace(site.trade, volumes=volumes)
+    return Terms(trade, site.bearings, parts.counts, fewest, parts.has, float(top), float(tight))
 
 
-def put(module: Dispatcher, into: Terms, now: float, yielded: bool) -> None:
-    """`yielded`: the dispatcher had no part until now. The company is told of the new counts here."""
-    gate, company, bearings = module.gate, module.company, into.bearings
+def put(module: Dispatcher, company: Fellows, into: Terms, now: float) -> None:
+    """`company`: the module's; it is told of counts and part here, with all else."""
+    gate, bearings = module.gate, into.bearings
+    yielded = company.yields
     grows = yielded or not {*company.counts} <= {*into.counts}
     blank = grows or gate.cold.span_ms != bearings.cold.span_ms
     before = module.earnings, module.tight
-    company.counts, company.dispatchers = into.counts, into.counts[-1]
+    company.counts, company.dispatchers, company.has = into.counts, into.counts[-1], into.has
     module.earnings, module.permits = bearings.earnings, bearings.permits
     module.top, module.tight = into.top, into.tight
     module.ask_spread = max(1000.0, 25.0 * into.counts[-1])
--- a/cherrygrade/interface.py
+++ b/cherrygrade/interface.py
@@ -204,7 +204,7 @@
         self.dispatchers = dispatchers
         self.counts: tuple[int, ...] = (dispatchers,)
         """Dispatchers that parts are dealt out over: two numbers while parts move from one to the other, and
-        then each uses the smaller of its two parts. One that is numbered outside of either `yields`."""
+        then each uses the smaller of its two parts."""
 
     def keeper(self, node: int) -> int:
         """Number of the dispatcher that keeps the node, told by the mark that words name it by; -1:
--- /dev/null
+++ b/tests/test_parts_in_force.py
@@ -0,0 +1,319 @@
+"""Rules 4 and 7 over all dispatchers while settings change under them: greedy seats, each with a module of
+its own that goes over to the new version at a time of its own; sums are judged from what was sent."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from itertools import count
+from types import SimpleNamespace
+
+import pytest
+from test_compiled import rough_day
+
+from cherrygrade import compiled, policy
+from cherrygrade.fleet.carriers.company import Fellows
+from cherrygrade.fleet.config.parts import parts
+from cherrygrade.fleet.config.versions import Divisors
+from cherrygrade.gateway.inforce import put, terms
+from cherrygrade.interface import (
+    ColdStart,
+    Company,
+    Earnings,
+    Node,
+    Permits,
+    Plan,
+    ResendBudget,
+    Rpc,
+    Workload,
+)
+from cherrygrade.policy import NEVER, Dispatcher, Gate, Job, Lane, Volume
+from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade
+from cherrygrade.site import Volume as Dealt
+
+READ = Workload("read", 250.0, 2000.0, 1.0)
+PERMITS = Permits(most_sends=4)
+COLD = ColdStart(units=12.0, share=0.25, multiple=3.0, span_ms=1000.0, warm_ms=60_000.0)
+GOLD = Plan("gold", limit_rate=300.0, limit_depth=120.0)
+IDS = count()
+STEP_MS = 25.0
+
+
+def site(dispatchers: int, cold: ColdStart = COLD, plan: Plan = GOLD, **more) -> Site:
+    """Volume `v` comes through all, `w` through two."""
+    volumes = {"v": Dealt(plan, dispatchers), "w": Dealt(plan, more.get("hosts", 2))}
+    return Site(
+        Place("d", "127.0.0.1:1", "127.0.0.1:2", 0, dispatchers, 1),
+        Trade({"read": READ}, volumes, Measure(4096.0, 1.0)),
+        Bearings(more.get("earnings", Earnings()), cold, more.get("budget"), PERMITS),
+        Bounds(),
+        Lines(),
+        Cuts(),
+        Pace(),
+    )
+
+
+def divisors(of: Site) -> Divisors:
+    return Divisors(of.place.dispatchers, tuple((name, one.hosts) for name, one in of.trade.volumes.items()))
+
+
+class Seat:
+    """One dispatcher: its module, and all that it sent: time, node or volume, units."""
+
+    def __init__(self, number: int, first: Site, now: float, made=Dispatcher) -> None:
+        core = SimpleNamespace(record=first.place.dispatchers, yields=False)
+        self.number, self.company = number, Fellows(core, number)
+        bearings = first.bearings
+        self.module = made(
+            seed=number,
+            number=number,
+            dispatchers=first.place.dispatchers,
+            workloads=[READ],
+            earnings=bearings.earnings,
+            cold=bearings.cold,
+            budget=bearings.budget,
+            permits=PERMITS,
+            key_rest_ms=0.0,
+            company=self.company,
+        )
+        self.module.gate.begun = now - 60_000.0
+        self.chance = random.Random(number)
+        self.told: dict[Node, float] = {}
+        self.sent: list[tuple[float, str, float]] = []
+        self.into(first, None, now)
+
+    def into(self, new: Site, old: Divisors | None, now: float, sure: bool = True) -> None:
+        """In force; `old` while parts move."""
+        dealt = parts(self.number, divisors(new), old, sure)
+        made = terms(new, dealt, old)
+        self.trade, self.fewest = made.trade, made.fewest
+        put(self.module, self.company, made, now)
+
+    def wants_all(self, nodes: list[Node], now: float, *, quiet: bool = False) -> None:
+        """All that rules 4 and 7 let through, each node asked in turn."""
+        for node in nodes:
+            if now < self.told[node]:
+                continue
+            if node not in self.module.lanes:
+                self.module.list(now, [node], None)
+            lane = self.module.lanes[node]
+            for units in (1.0, 2.0, 1.0):
+                while not quiet and self.goes(lane, units, "", now):
+                    self.sent.append((now, node.address, units))
+        for name, dealt in self.trade.volumes.items():
+            if name == "w" and self.number >= self.fewest[name]:
+                continue  # its clients come to more dispatchers once the move is over, to fewer before
+            due = Volume(dealt.plan, dealt.hosts, now, Earnings())
+            due = self.module.volumes.setdefault(name, due)
+            due.pass_time(now)
+            units = self.chance.choice([1.0, 3.0])
+            while not quiet and self.goes(None, units, name, now):
+                self.sent.append((now, name, units))
+
+    def goes(self, lane: Lane | None, units: float, name: str, now: float) -> bool:
+        gate = self.module.gate
+        rpc = Rpc(READ, Plan("p"), name, 1, "", -1, units, now + 2000.0, id=str(next(IDS)))
+        due = self.module.volumes[name] if name else Volume(Plan("p"), 1, now, Earnings())
+        lane = lane or Lane(Node("warm"), now, 250.0, NEVER, None)
+        job = Job(rpc, due, now, now + 250.0)
+        if gate.opens(job, lane, now) > now:
+            return False
+        gate.sent(job, lane, now)
+        return True
+
+
+class Day:
+    """Seats that go over from one site to another, through joint use where divisors move."""
+
+    def __init__(self, before: Site, after: Site, seed: int, *, joint: bool = True) -> None:
+        self.chance, self.now, self.joint = random.Random(seed), 1_000_000.0, joint
+        self.before, self.after = before, after
+        self.moves = divisors(before) != divisors(after)
+        seats = max(before.place.dispatchers, after.place.dispatchers)
+        self.seats = [Seat(number, before, self.now) for number in range(seats)]
+        self.nodes = [Node(f"10.0.0.{at}:1", shard=at) for at in range(3)]
+
+    def play(self) -> None:
+        spread = self.chance.choice([100.0, 900.0, 2000.0])
+        first = self.now + 2500.0
+        goes = {seat: first + self.chance.uniform(0.0, spread) for seat in self.seats}
+        settles = max(goes.values()) + STEP_MS
+        settled = {seat: settles + self.chance.uniform(0.0, spread) for seat in self.seats}
+        # Saved up and spent just before it goes over, or a short span before.
+        early, late = self.chance.choice([(2500.0, 2500.0), (0.0, 60.0), (1020.0, 1200.0)])
+        quiet = {seat: goes[seat] - self.chance.uniform(early, late) for seat in self.seats}
+        for node, at in zip(self.nodes, (self.now + 50.0, first - 300.0, settles - 150.0), strict=True):
+            node.born_ms = at
+            for seat in self.seats:
+                seat.told[node] = at + self.chance.choice([20.0, 200.0, self.chance.uniform(0.0, 1500.0)])
+        old = divisors(self.before) if self.moves and self.joint else None
+        came: set[Seat] = set()
+        done: set[Seat] = set()
+        while self.now < max(settled.values()) + 3000.0:
+            self.now += STEP_MS
+            self.chance.shuffle(self.seats)
+            for seat in self.seats:
+                if seat not in came and self.now >= goes[seat]:
+                    came.add(seat)
+                    seat.into(self.after, old, self.now)
+                if old and seat not in done and self.now >= settled[seat]:
+                    done.add(seat)
+                    seat.into(self.after, None, self.now)
+                seat.wants_all(self.nodes, self.now, quiet=self.now < quiet[seat])
+
+    def sends(self, name: str) -> list[tuple[float, float]]:
+        return sorted((at, units) for seat in self.seats for at, what, units in seat.sent if what == name)
+
+
+def most_in_span(sends: list[tuple[float, float]], span: float) -> float:
+    first, total, most = 0, 0.0, 0.0
+    for at, units in sends:
+        total += units
+        while sends[first][0] < at - span:
+            total -= sends[first][1]
+            first += 1
+        most = max(most, total)
+    return most
+
+
+def over_bucket(sends: list[tuple[float, float]], plans: list[Plan]) -> float:
+    """By how much any stretch of time passed the larger of the plans' limits; below 0: by nothing."""
+    steps: dict[float, float] = {}
+    for at, units in sends:
+        steps[at] = steps.get(at, 0.0) + units
+    times, sums = [*steps], [*steps.values()]
+    worst = -NEVER
+    for first, begins in enumerate(times):
+        total = 0.0
+        for at, units in zip(times[first:], sums[first:], strict=True):
+            total += units
+            within = (at - begins) / 1000.0
+            over = [total - plan.limit_depth - plan.limit_rate * within for plan in plans]
+            worst = max(worst, min(over))
+    return worst
+
+
+def borne(cold: ColdStart, age: float) -> float:
+    """By rule 4, of a node of this age, where answers take 250 ms a unit."""
+    bears = max(cold.units, cold.multiple * cold.share * cold.span_ms / 250.0)
+    return bears * (1.0 + (1.0 / cold.share - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms)
+
+
+def held(day: Day) -> None:
+    colds = [day.before.bearings.cold, day.after.bearings.cold]
+    for node in day.nodes:
+        sends = day.sends(node.address)
+        assert sends
+        for span in {cold.span_ms for cold in colds}:
+            spans = [max(1.0, span / cold.span_ms) for cold in colds]
+            most = max(borne(one, day.now - node.born_ms) * n for one, n in zip(colds, spans, strict=True))
+            assert most_in_span(sends, span) <= most + 1e-6
+    for name in ("v", "w"):
+        plans = [one.trade.volumes[name].plan for one in (day.before, day.after)]
+        sends = day.sends(name)
+        assert sends and over_bucket(sends, plans) <= 1e-6
+
+
+SIZES = [(9, 12), (12, 9), (2, 3), (3, 2), (30, 40), (40, 30)]
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("before, after", SIZES)
+def test_the_number_of_dispatchers_moves(before, after, seed):
+    day = Day(site(before), site(after, hosts=2 + seed % 2), seed)
+    day.play()
+    held(day)
+
+
+SHAPES = [
+    (Plan("g", limit_rate=300.0, limit_depth=120.0), Plan("g", limit_rate=100.0, limit_depth=40.0)),
+    (Plan("g", limit_rate=100.0, limit_depth=40.0), Plan("g", limit_rate=300.0, limit_depth=120.0)),
+    (Plan("g", limit_rate=100.0, limit_depth=200.0), Plan("g", limit_rate=300.0, limit_depth=50.0)),
+    (Plan("g", limit_rate=300.0, limit_depth=50.0), Plan("g", limit_rate=100.0, limit_depth=200.0)),
+]
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("sizes", [(9, 9), (9, 12), (12, 9)])
+@pytest.mark.parametrize("before, after", SHAPES)
+def test_a_limit_moves_alone_or_with_the_number_of_dispatchers(before, after, sizes, seed):
+    day = Day(site(sizes[0], plan=before), site(sizes[1], plan=after), seed)
+    day.play()
+    held(day)
+
+
+COLDS = [
+    (COLD, replace(COLD, units=40.0)),
+    (replace(COLD, units=40.0), COLD),
+    (COLD, replace(COLD, span_ms=3000.0)),
+    (replace(COLD, span_ms=3000.0), COLD),
+    (COLD, replace(COLD, share=0.8, multiple=8.0)),
+    (replace(COLD, units=54.0, span_ms=3000.0), replace(COLD, units=36.0)),
+]
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("sizes", [(9, 9), (30, 30), (9, 12)])
+@pytest.mark.parametrize("before, after", COLDS)
+def test_what_cold_nodes_bear_moves(before, after, sizes, seed):
+    day = Day(site(sizes[0], cold=before), site(sizes[1], cold=after), seed)
+    day.play()
+    held(day)
+
+
+def cold_room_of_one_count(gate: Gate, lane: Lane, now: float) -> float:
+    """`Gate.cold_room` as it read before there could be two counts."""
+    cold, age = gate.cold, now - max(lane.node.born_ms or -1e12, lane.warm_from)
+    if not cold.units or age >= cold.warm_ms:
+        return NEVER
+    bears = max(cold.units, cold.multiple * cold.share * cold.span_ms / lane.others.quiet_ms)
+    bears *= 1.0 + (1.0 / max(cold.share, 0.01) - 1.0) * max(0.0, age - cold.span_ms / 2.0) / cold.warm_ms
+    dispatchers = gate.company.dispatchers
+    part = max(bears / dispatchers, gate.part)
+    place = (gate.number + policy.crc32(lane.node.address.encode())) % dispatchers
+    spent = sum(units for at, units in lane.cold if at >= now - cold.span_ms)
+    return part * ((place + 1) * part < bears + 1e-6 and not gate.company.yields) - spent
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_with_one_count_decisions_are_those_of_before_bit_for_bit(seed, monkeypatch):
+    now = rough_day(policy.Dispatcher, seed)
+    monkeypatch.setattr(policy.Gate, "cold_room", cold_room_of_one_count)
+    assert now == rough_day(policy.Dispatcher, seed)
+
+
+def test_with_two_counts_a_part_is_the_smaller_of_the_two():
+    node = Node("10.0.0.1:1", born_ms=1_000_000.0)
+    lane = Lane(node, 1_000_010.0, 250.0, 0.0, None)
+    smaller = 0
+    for number in range(40):
+        rooms = []
+        for counts in ((30,), (40,), (30, 40)):
+            company = Company(30)
+            company.counts = counts
+            rooms.append(Gate(number, company, 1.0, COLD, None, PERMITS, 0.0).cold_room(lane, 1_000_020.0))
+        assert rooms[2] == min(rooms[:2])
+        smaller += rooms[0] != rooms[1]
+    assert smaller > 5
+
+
+def test_the_compiled_module_takes_settings_while_it_runs():
+    made, is_compiled = compiled.dispatcher()
+    if not is_compiled:
+        pytest.skip("no C compiler here: the program runs the module as it reads")
+    one = Seat(0, site(9), 1_000_000.0, made)
+    node = Node("10.0.0.0:1", born_ms=1_000_100.0)
+    one.told[node] = 0.0
+    other = Seat(0, site(9), 1_000_000.0)
+    other.told[node] = 0.0
+    for seat in (one, other):
+        now = 1_000_000.0
+        budget = ResendBudget(5.0, 0.1, 2000.0)
+        for step, new in enumerate(
+            (site(12), site(12), site(12, budget=budget), site(9, replace(COLD, units=5.0)), site(9))
+        ):
+            seat.into(new, divisors(site(9)) if step == 0 else None, now)
+            for _ in range(50):
+                now += 20.0
+                seat.wants_all([node], now)
+    assert one.sent == other.sent and len(one.sent) > 50
