--- a/tests/test_parts_in_force.py
+++ b/tests/test_parts_in_force.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from dataclasses import replace
 from itertools import count
 from types import SimpleNamespace
@@ -27,7 +28,7 @@
     Rpc,
     Workload,
 )
-from cherrygrade.policy import NEVER, Dispatcher, Gate, Job, Lane, Volume
+from cherrygrade.policy import NEVER, Dispatcher, Gate, Lane
 from cherrygrade.site import Bearings, Bounds, Cuts, Lines, Measure, Pace, Place, Site, Trade
 from cherrygrade.site import Volume as Dealt
 
@@ -63,6 +64,7 @@
     def __init__(self, number: int, first: Site, now: float, made=Dispatcher) -> None:
         core = SimpleNamespace(record=first.place.dispatchers, yields=False)
         self.number, self.company = number, Fellows(core, number)
+        self.text = sys.modules[made.__module__]  # the module as it reads, or as it was compiled
         bearings = first.bearings
         self.module = made(
             seed=number,
@@ -103,7 +105,7 @@
         for name, dealt in self.trade.volumes.items():
             if name == "w" and self.number >= self.fewest[name]:
                 continue  # its clients come to more dispatchers once the move is over, to fewer before
-            due = Volume(dealt.plan, dealt.hosts, now, Earnings())
+            due = self.text.Volume(dealt.plan, dealt.hosts, now, Earnings())
             due = self.module.volumes.setdefault(name, due)
             due.pass_time(now)
             units = self.chance.choice([1.0, 3.0])
@@ -113,9 +115,9 @@
     def goes(self, lane: Lane | None, units: float, name: str, now: float) -> bool:
         gate = self.module.gate
         rpc = Rpc(READ, Plan("p"), name, 1, "", -1, units, now + 2000.0, id=str(next(IDS)))
-        due = self.module.volumes[name] if name else Volume(Plan("p"), 1, now, Earnings())
-        lane = lane or Lane(Node("warm"), now, 250.0, NEVER, None)
-        job = Job(rpc, due, now, now + 250.0)
+        due = self.module.volumes[name] if name else self.text.Volume(Plan("p"), 1, now, Earnings())
+        lane = lane or self.text.Lane(Node("warm"), now, 250.0, NEVER, None)
+        job = self.text.Job(rpc, due, now, now + 250.0)
         if gate.opens(job, lane, now) > now:
             return False
         gate.sent(job, lane, now)
