Pages: which configuration a member holds rides as a last field; Which and Here ask for it

Probe, Answer and Push take an optional last field (stage, head of the digest; on probes a bitmap by seat, only within what is filled anyway); a reader of before passes over it. Which(nonce) is answered by Here at no more than its length. The core hands words on with whether they answer what this member drew itself; nothing decides by them here. An idle probe and answer grow by under 5% of bytes (test).

--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -12,7 +12,18 @@
 
 from cherrygrade.fleet.members import seats
 from cherrygrade.fleet.members.keepers import Keepers
-from cherrygrade.fleet.members.pages import Answer, Any_, Ask, Carried, Probe, Push, Spoken
+from cherrygrade.fleet.members.pages import (
+    Answer,
+    Any_,
+    Ask,
+    Carried,
+    Here,
+    Hint,
+    Probe,
+    Push,
+    Spoken,
+    Which,
+)
 from cherrygrade.fleet.members.probing import DIRECT_MS, PERIOD_MS, Does, Probing
 from cherrygrade.fleet.members.roll import Claim, Facts, Member, Roll, Standing, sound
 from cherrygrade.fleet.members.seen import Seen
@@ -30,6 +41,19 @@
 WORDS_A_S = 400  # of one member's words; the rest is dropped
 
 
+@dataclass(slots=True)
+class Hinted:
+    """A living member's word on its configuration. `first`: it is the answer to what this one drew and asked
+    at the place that the roll has for it; `nonce` of a `Which`, else 0."""
+
+    name: str
+    seat: int
+    config: Hint
+    first: bool
+    nonce: int = 0
+    why: str = ""
+
+
 @dataclass(slots=True)
 class Mail:
     """What a call comes to: pages to places; with whom to exchange rolls; words for the module, by seat."""
@@ -39,6 +63,7 @@
     """Go back to where the page came from."""
     exchange: list[tuple[str, str]] = field(default_factory=list)
     words: list[tuple[int, bytes]] = field(default_factory=list)
+    hints: list[Hinted] = field(default_factory=list)
 
     def to(self, member: Member, page: Any_) -> None:
         """Nowhere, where it is not known yet where the member is."""
@@ -94,6 +119,8 @@
         self.talk: dict[str, tuple[float, int]] = {}
         self.back: dict[str, str] = {}
         self.strangers: dict[str, float] = {}  # who asked and is not known, since when; at most MOST_BACK
+        self.config: Hint | None = None  # what it says of its own configuration, if there is any
+        self.config_why = ""  # why it stays on that
         self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
         self._seen_comings = -1
         self._contact_at = now
@@ -140,12 +167,14 @@
             self.probing.spoke(speaker, now)
         else:
             self.probing.heard_at = now
-        if not isinstance(page, Spoken | Carried):
+        if isinstance(page, Probe | Answer | Ask | Push):
             self._join(page.news, page.name, now)
         if isinstance(page, Probe):
             news = self._carry(page.name, page.birth)
-            answer = Answer(self.name, self.birth, page.number, self.roll.digest, news, [])
+            hint = self._hint()
+            answer = Answer(self.name, self.birth, page.number, self.roll.digest, news, [], hint)
             mail.answers.append(answer)
+            self._hinted(page, page.config, False, mail)
             self._compare(page, place, now, mail)
             self._met(page, now)
         elif isinstance(page, Answer):
@@ -156,6 +185,15 @@
             if not page.denied:
                 self._lift(page.target, now)
                 self.probing.answered(page.target, page.number, now, straight=False)
+        elif isinstance(page, Push):
+            self._hinted(page, page.config, False, mail)
+        elif isinstance(page, Which):
+            if self.config is not None:
+                seat = self.roll.own.seat
+                here = Here(self.name, self.birth, page.nonce, seat, self.config, self.config_why)
+                mail.answers.append(here)
+        elif isinstance(page, Here):
+            self._hinted(page, page.config, True, mail, page.nonce, page.why)
         elif isinstance(page, Spoken):
             self._word(page, speaker, now, mail)
         self._look(now)
@@ -190,6 +228,23 @@
                 mail.to(found, page)
         return mail
 
+    def which(self, name: str, nonce: int) -> Mail:
+        """Ask a member which configuration it holds; nothing where it is not known where that one is."""
+        mail = Mail()
+        member = self.roll.members.get(name)
+        if member is not None and not self.silent:
+            mail.to(member, Which(self.name, self.birth, nonce))
+        return mail
+
+    def hint(self, names: Iterable[str]) -> Mail:
+        """Tell these which configuration this one holds."""
+        mail = Mail()
+        for name in names:
+            member = self.roll.members.get(name)
+            if member is not None and not self.silent:
+                mail.to(member, Push(self.name, self.birth, [], self._hint()))
+        return mail
+
     def leave(self, now: float) -> Mail:
         """It goes by its own will: told to some, and what they do not hear is found out by probes."""
         mail = Mail()
@@ -223,7 +278,7 @@
                 mail.pages.append((help_.place, no))
         if load := self.news.push(self.roll, now):
             for name in self.probing.some([one.name for one in self.roll.others()], 1 if self.short else FAN):
-                mail.to(self.roll.members[name], Push(self.name, self.birth, load))
+                mail.to(self.roll.members[name], Push(self.name, self.birth, load, self._hint()))
         if now >= self._contact_at:
             self._contact(mail, now)
         if now >= self._forget_at:
@@ -237,6 +292,20 @@
         self._numbers = (self._numbers + 1) & 0x7FFFFFFF
         return self._numbers
 
+    def _hint(self) -> Hint | None:
+        """Without bits: they go along only where room is filled anyway."""
+        held = self.config
+        return Hint(held.stage, held.mark) if held is not None else None
+
+    def _hinted(
+        self, page: Any_, hint: Hint | None, first: bool, mail: Mail, nonce: int = 0, why: str = ""
+    ) -> None:
+        """Of a living member alone, in the life that is known of it."""
+        member = self.roll.members.get(page.name)
+        if hint is None or member is None or not member.living or member.birth != page.birth:
+            return
+        mail.hints.append(Hinted(page.name, member.seat, hint, first, nonce, why))
+
     def _carry(self, hearer: str, birth: int = -1) -> list[Claim]:
         """News for a hearer: before all what is said against itself, so that it can speak for itself."""
         member = self.roll.members.get(hearer)
@@ -251,7 +320,8 @@
             if member.facts is not None:
                 # Of many that may have died few would read news.
                 news = self._carry(member.name) if len(does.probe) == 1 else []
-                mail.to(member, Probe(self.name, self.birth, number, self.roll.digest, news, met))
+                page = Probe(self.name, self.birth, number, self.roll.digest, news, met, config=self.config)
+                mail.to(member, page)
         for helper, target, number in does.ask:
             if target.facts is not None:
                 place = target.facts.place
@@ -341,7 +411,8 @@
             del self.helps[page.number]
             mail.pages.append((help_.place, Carried(self.name, self.birth, help_.number, help_.target)))
         else:
-            self.probing.answered(page.name, page.number, now)
+            mine = self.probing.answered(page.name, page.number, now)
+            self._hinted(page, page.config, mine, mail)
         self._compare(page, place, now, mail)
         self._met(page, now)
 
--- a/cherrygrade/fleet/members/pages.py
+++ b/cherrygrade/fleet/members/pages.py
@@ -26,11 +26,24 @@
 """A probe is filled up to so many bytes, and an answer is no longer than its probe: who forges a sender's
 place gets nothing larger thrown at it than what it wrote."""
 
+MOST_BITS = 512
+"""Of a bitmap by seat: four thousand dispatchers."""
+
 Claims = Annotated[list[Claim], Meta(max_length=64)]
 Mets = Annotated[list[Met], Meta(max_length=16)]
 Name = Annotated[str, Meta(max_length=100)]
 
 
+class Hint(msgspec.Struct, array_like=True, frozen=True):
+    """Which configuration the speaker holds: its stage and the head of its digest (`config/replica.py`).
+    `bits`: by seat, who of the fleet is known to be on it; rides only where room is filled anyway. It is the
+    last field of a page, so that a reader of before passes over it."""
+
+    stage: Annotated[int, Meta(ge=0, le=2**53)]
+    mark: Annotated[int, Meta(ge=0)]
+    bits: Annotated[bytes, Meta(max_length=MOST_BITS)] = b""
+
+
 class Page(msgspec.Struct, array_like=True, frozen=True, tag_field="kind"):
     """Any; `name` and `birth` tell who speaks."""
 
@@ -44,6 +57,7 @@
     news: Claims = []
     met: Mets = []
     filling: bytes = b""
+    config: Hint | None = None
 
 
 class Answer(Page, frozen=True, tag="a"):
@@ -51,6 +65,7 @@
     digest: int
     news: Claims = []
     met: Mets = []
+    config: Hint | None = None
 
 
 class Ask(Page, frozen=True, tag="q"):
@@ -72,6 +87,7 @@
 
 class Push(Page, frozen=True, tag="n"):
     news: Claims = []
+    config: Hint | None = None
 
 
 class Spoken(Page, frozen=True, tag="w"):
@@ -81,7 +97,23 @@
     payload: Annotated[bytes, Meta(max_length=256)]
 
 
-Any_ = Probe | Answer | Ask | Carried | Push | Spoken
+class Which(Page, frozen=True, tag="v"):
+    """Which configuration do you hold? Nonce: drawn for this question. Filled up as a probe is."""
+
+    nonce: Annotated[int, Meta(ge=0)]
+    filling: bytes = b""
+
+
+class Here(Page, frozen=True, tag="h"):
+    """The answer to that, first-hand; `seat`: the speaker's, -1: none. `why` it refuses what is newer."""
+
+    nonce: Annotated[int, Meta(ge=0)]
+    seat: int
+    config: Hint
+    why: Annotated[str, Meta(max_length=120)] = ""
+
+
+Any_ = Probe | Answer | Ask | Carried | Push | Spoken | Which | Here
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Any_)
 
@@ -100,9 +132,15 @@
 
     def write(self, page: Any_, most: int = MOST_PAGE) -> bytes:
         """At most so many bytes: what news does not fit is left out, the last first."""
+        hint: Hint | None = getattr(page, "config", None)
         while True:
             body = _encoder.encode(page)
-            if HEAD.size + len(body) <= most:
+            length = HEAD.size + len(body)
+            if hint is not None and hint.bits and length > min(most, ROOM):
+                hint = Hint(hint.stage, hint.mark)  # bits go along only where room is filled anyway
+                page = msgspec.structs.replace(page, config=hint)
+                continue
+            if length <= most:
                 break
             news = getattr(page, "news", [])
             if news:
@@ -111,7 +149,7 @@
                 page = msgspec.structs.replace(page, met=[])
             else:
                 break
-        if isinstance(page, Probe) and HEAD.size + len(body) < ROOM:
+        if isinstance(page, Probe | Which) and HEAD.size + len(body) < ROOM:
             lacks = ROOM - HEAD.size - len(body)
             body = _encoder.encode(msgspec.structs.replace(page, filling=bytes(lacks)))
         return HEAD.pack(MAGIC, self.mark, xxhash.xxh3_64_intdigest(body)) + body
--- a/cherrygrade/fleet/members/probing.py
+++ b/cherrygrade/fleet/members/probing.py
@@ -134,17 +134,19 @@
         """Anything came from the member itself."""
         member.heard = self.heard_at = now
 
-    def answered(self, name: str, number: int, now: float, straight: bool = True) -> None:
-        """The probe with this number came back, straight or through another."""
+    def answered(self, name: str, number: int, now: float, straight: bool = True) -> bool:
+        """The probe with this number came back, straight or through another; whether one was out."""
         for out in self.outs:
             if (out.number, out.name) == (number, name):
                 self.outs.remove(out)
                 self.doubt = max(0, self.doubt - 1)
                 if straight:
                     self._took(now - out.at, now)
-                return
+                return True
         if straight and self.late.get(number, ("", 0.0))[0] == name:
             self._took(now - self.late.pop(number)[1], now)
+            return True
+        return False
 
     def _took(self, ms: float, now: float) -> None:
         if ms >= self.slow(now):
--- a/cherrygrade/fleet/members/ration.py
+++ b/cherrygrade/fleet/members/ration.py
@@ -22,8 +22,9 @@
 OF_NEED = 60.0  # beyond what there is, for answers, probes and words: who does not answer is called dead
 MOST_WAITING = 96
 STALE_MS = 1500.0  # who probed has asked others, or again, by then
-RANKS = {b"a": 0, b"c": 0, b"p": 1, b"w": 1, b"q": 2, b"n": 3}
-"""By the letter that a page begins with: answers, probes and words, asks for others, news."""
+RANKS = {b"a": 0, b"c": 0, b"h": 0, b"p": 1, b"w": 1, b"q": 2, b"v": 2, b"n": 3}
+"""By the letter that a page begins with: answers, probes and words, asks for others and of the configuration,
+news."""
 
 
 def cost(kind: bytes, length: int) -> float:
@@ -59,7 +60,7 @@
     def spent(self, kind: bytes, length: int, now: float) -> None:
         """A page of one's own was sent: that is work too. An answer is paid for by what it answers, and a
         word to all by its module: else a keeper that told two hundred would not answer for two seconds."""
-        if kind not in (b"a", b"c", b"w"):
+        if kind not in (b"a", b"c", b"h", b"w"):
             self._fill(now)
             self._store = max(self._store - cost(kind, length), -OF_NEED)
 
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -3,11 +3,27 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import msgspec
+import xxhash
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cherrygrade.fleet.members.core import Core
-from cherrygrade.fleet.members.pages import HEAD, MOST_PAGE, Answer, Book, Probe, Push, Spoken
+from cherrygrade.fleet.members.pages import (
+    HEAD,
+    MOST_PAGE,
+    Answer,
+    Book,
+    Here,
+    Hint,
+    Probe,
+    Push,
+    Spoken,
+    Which,
+    letter,
+)
 from cherrygrade.fleet.members.roll import Claim, Facts, Standing
 
 ALIVE = [
@@ -65,12 +81,9 @@
         lambda inner: st.lists(inner, max_size=6),
         max_leaves=12,
     ),
-    st.sampled_from("paqcnwx"),
+    st.sampled_from("paqcnwvhx"),
 )
 def test_a_whole_frame_around_nonsense_is_dropped_or_harmless(value, tag):
-    import msgspec
-    import xxhash
-
     book, here = Book("fleet"), core()
     body = msgspec.msgpack.encode([tag, *(value if isinstance(value, list) else [value])])
     data = HEAD.pack(b"cgF1", book.mark, xxhash.xxh3_64_intdigest(body)) + body
@@ -108,3 +121,107 @@
         assert here.hear(Spoken(name, birth, seat, b"w"), "10.0.0.5:1", 5.0).words == []
     flood = [here.hear(Spoken("d6", 1, 6, b"w"), "10.0.0.6:1", 6.0).words for _ in range(1000)]
     assert sum(len(words) for words in flood) == 400
+
+
+HINT = Hint(2**20, 2**64 - 1, b"\xff" * 73)
+
+
+class OldPage(msgspec.Struct, array_like=True, frozen=True, tag_field="kind"):
+    """As a reader of before has them: without what came at their ends."""
+
+    name: str
+    birth: int
+
+
+class OldProbe(OldPage, frozen=True, tag="p"):
+    number: int
+    digest: int
+    news: list[Claim] = []
+    met: list[Any] = []
+    filling: bytes = b""
+
+
+class OldAnswer(OldPage, frozen=True, tag="a"):
+    number: int
+    digest: int
+    news: list[Claim] = []
+    met: list[Any] = []
+
+
+class OldPush(OldPage, frozen=True, tag="n"):
+    news: list[Claim] = []
+
+
+def test_a_reader_of_before_passes_over_the_configuration_and_its_pages_are_read_here():
+    book = Book("fleet")
+    pages = [
+        (Probe("d1", 1, 7, 99, ALIVE[:2], config=HINT), OldProbe, b"p"),
+        (Answer("d1", 1, 7, 99, ALIVE[:2], [], Hint(7, 8)), OldAnswer, b"a"),
+        (Push("d1", 1, ALIVE[:2], Hint(7, 8)), OldPush, b"n"),
+    ]
+    for page, old, kind in pages:
+        data = book.write(page)
+        read = msgspec.msgpack.decode(data[HEAD.size :], type=old)
+        assert (read.name, read.birth, read.news) == ("d1", 1, ALIVE[:2]) and letter(data) == kind
+        body = msgspec.msgpack.encode(read)
+        back = book.read(HEAD.pack(b"cgF1", book.mark, xxhash.xxh3_64_intdigest(body)) + body)
+        assert back is not None and back.config is None and back.news == ALIVE[:2]
+        assert book.read(data).config.stage == page.config.stage
+    assert not book.wrong
+
+
+def test_at_rest_the_configuration_costs_under_a_twentieth_of_the_bytes():
+    book = Book("fleet")
+
+    def both(hint):
+        bare = hint and Hint(hint.stage, hint.mark)
+        ask = Probe("dispatcher-112", 1_700_000_000_000, 2**30, 2**63, config=hint)
+        answer = Answer("dispatcher-113", 1_700_000_000_000, 2**30, 2**63, config=bare)
+        return len(book.write(ask)) + len(book.write(answer))
+
+    before = len(HEAD.pack(b"", 0, 0)) + len(
+        msgspec.msgpack.encode(OldAnswer("dispatcher-113", 1_700_000_000_000, 2**30, 2**63))
+    )
+    assert both(Hint(2**20, 2**64 - 1)) < 1.05 * (300 + before)
+    assert both(HINT) == both(Hint(2**20, 2**64 - 1))  # bits go in what is filled anyway
+    assert both(None) <= 300 + before + 1
+
+
+def test_bits_ride_only_where_room_is_filled_anyway_and_news_goes_before_them():
+    book = Book("fleet")
+    assert book.read(book.write(Probe("d1", 1, 7, 99, config=HINT))).config == HINT
+    full = book.read(book.write(Probe("d1", 1, 7, 99, ALIVE[:30], config=HINT)))
+    assert full.config == Hint(HINT.stage, HINT.mark) and full.news == ALIVE[:30]
+
+
+def test_who_is_asked_which_answers_with_no_more_than_the_question_and_says_nothing_without_any():
+    book, here = Book("fleet"), core()
+    asks = [page for _, page in core().which("d7", 2**64 - 1).pages]
+    assert [type(page) for page in asks] == [Which]
+    data = book.write(Which("d9", 1, 2**64 - 1))
+    assert not here.hear(book.read(data), "10.0.0.9:1", 3.0).answers
+    here.config, here.config_why = HINT, "x" * 120
+    answer = here.hear(book.read(data), "10.0.0.9:1", 3.0).answers[0]
+    assert answer == Here("d0", 1, 2**64 - 1, 0, HINT, "x" * 120)
+    told = book.write(answer, len(data))
+    assert len(told) <= len(data) and book.read(told).config.stage == HINT.stage
+
+
+def test_words_on_the_configuration_are_handed_on_of_the_living_alone_and_first_hand_by_their_number():
+    here, hint = core(), Hint(7, 8)
+    here.config = Hint(3, 4)
+    [asked] = [page for _, page in here.beat(500.0).pages if isinstance(page, Probe)][:1]
+    assert asked.config == Hint(3, 4)
+    target = here.probing.outs[0].name
+
+    def heard(page):
+        return [(one.name, one.first, one.nonce) for one in here.hear(page, "10.0.0.9:1", 501.0).hints]
+
+    assert heard(Answer(target, 1, asked.number + 1, 9, config=hint)) == [(target, False, 0)]
+    assert heard(Answer(target, 1, asked.number, 9, config=hint)) == [(target, True, 0)]
+    assert heard(Answer(target, 1, asked.number, 9, config=hint)) == [(target, False, 0)]  # once
+    assert heard(Push("d7", 1, [], hint)) == [("d7", False, 0)]
+    assert heard(Probe("d7", 1, 9, 9, config=hint)) == [("d7", False, 0)]
+    assert heard(Here("d7", 1, 55, 7, hint)) == [("d7", True, 55)]
+    assert heard(Push("d7", 2, [], hint)) == heard(Push("nobody", 1, [], hint)) == []  # another life
+    assert [page.config for _, page in here.hint(["d5", "nobody"]).pages] == [Hint(3, 4)]
