--- a/cherrygrade/fleet/council/raft.py
+++ b/cherrygrade/fleet/council/raft.py
@@ -23,6 +23,7 @@
 BEAT_MS = 120.0  # between two words of a leader
 PATIENCE_MS, SPREAD_MS = 600.0, 600.0  # without a leader's word, before votes are asked for
 MOST_SENT = 64  # entries in one message
+MOST_SENT_BYTES = 1_048_576  # of them, and one at least: what is on its way is said again at each beat
 NEVER = 1e15
 
 
@@ -451,6 +452,11 @@
             self._send(name, Install(self.me, self.term, self.base, self.round))
             return
         at = index - self.base.index
-        some = tuple(self.entries[at : at + MOST_SENT])
+        some, room = list[Entry](), MOST_SENT_BYTES
+        for entry in self.entries[at : at + MOST_SENT]:
+            room -= len(entry.payload)
+            if some and room < 0:
+                break
+            some.append(entry)
         before = self.term_at(index)
-        self._send(name, Append(self.me, self.term, index, before, some, self.agreed, self.round))
+        self._send(name, Append(self.me, self.term, index, before, (*some,), self.agreed, self.round))
--- a/cherrygrade/fleet/council/voter.py
+++ b/cherrygrade/fleet/council/voter.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from cherrygrade.fleet.config.versions import Divisors, Hunk, Put, Settle, text_digest
+from cherrygrade.fleet.config.versions import Told as ConfigTold
 from cherrygrade.fleet.council import books
 from cherrygrade.fleet.council.books import Books
 from cherrygrade.fleet.council.raft import Any_ as Word
@@ -21,6 +23,7 @@
 from cherrygrade.fleet.leases.grants import Told as LeaseTold
 
 COMPACT = 512  # entries, after which the log becomes a snapshot
+COMPACT_BYTES = 8_388_608  # or so many bytes of them
 MOST_WAITING = 4096  # asks that have no answer yet; more are told to come again
 FREE_AT_ONCE = 256  # entries of a beat, so that the log is not flooded as a fleet of holders dies
 PROOF_MS = 20.0  # proofs are asked for together: one round answers for all who came in it
@@ -61,6 +64,21 @@
     """Who votes, leads, and holds what: for people."""
 
 
+class AskPut(Ask, frozen=True, tag="put"):
+    """A new version of the configuration, whole, behind `based_on`: the newest that its asker saw, 0 for the
+    first. The carrier judges the text before the voter hears of it."""
+
+    text: str
+    based_on: int
+    by: str
+
+
+class AskConfig(Ask, frozen=True, tag="config"):
+    """What the log has of the configuration; `number`: with this version's text."""
+
+    number: int = 0
+
+
 class Answer(msgspec.Struct, array_like=True, frozen=True, tag_field="answer"):
     id: str
 
@@ -98,8 +116,47 @@
     """Task, times in a row, the last reason, ms that it rests yet."""
 
 
-Asks = AskTake | AskGive | AskRenew | AskFree | AskShow
-Answers = Elsewhere | Took | Renewed | Freed | Shown
+class Configured(Answer, frozen=True, tag="put"):
+    """The number of the version that it became, or why there is none."""
+
+    told: ConfigTold
+
+
+class Line(msgspec.Struct, array_like=True, frozen=True):
+    """One version of the log's, without its text; `at`: the leaders' time, ms."""
+
+    number: int
+    digest: str
+    by: str
+    at: float
+    length: int
+
+
+class ConfigShown(Answer, frozen=True, tag="config"):
+    """`stage` 0: there is no configuration. `moving`: the version whose parts still move, 0: none.
+    `lines`: those that are kept, the newest last. `text`: None where the version asked for is not kept."""
+
+    stage: int
+    settled: int
+    moving: int
+    lines: list[Line]
+    text: str | None
+    leader: str
+
+
+Asks = AskTake | AskGive | AskRenew | AskFree | AskShow | AskPut | AskConfig
+Answers = Elsewhere | Took | Renewed | Freed | Shown | Configured | ConfigShown
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """What came of judging a text: why it is refused, or the divisors of the site that comes of it, `old` of
+    the site before it, and the difference against the text it is based on where that is the shorter."""
+
+    why: str
+    parts: Divisors | None = None
+    old: Divisors | None = None
+    hunks: tuple[Hunk, ...] | None = None
 
 
 @dataclass(slots=True)
@@ -134,6 +191,7 @@
         self._prove_at = NEVER
         self._led = 0  # the term of the lead that `count` is of
         self._applied = stored.base.index
+        self._since = 0  # bytes of the log behind its base
 
     @property
     def leader(self) -> str:
@@ -183,11 +241,38 @@
             op_ = Give(self._at(now), ask.task, ask.number, ask.failed)
             index = self._propose(books.lease(op_), does, now)
             self.waiting[index] = (self.raft.term, by, ask.id)
+        elif isinstance(ask, AskPut):
+            does.answers.append((by, Elsewhere(ask.id, "", "it was not judged")))
         else:
             self._unproven.append((by, ask))
             self._prove_at = min(self._prove_at, now + PROOF_MS)
         return self._settle(does, now)
 
+    def put(self, ask: AskPut, judged: Judged, by: object, now: float) -> Does:
+        """A change of the configuration whose text was judged."""
+        if not self.raft.leads:
+            return self.ask(ask, by, now)
+        does = Does()
+        if len(self.waiting) + len(self._unproven) >= MOST_WAITING:
+            does.answers.append((by, Elsewhere(ask.id, "", "too much is asked at once")))
+        elif judged.why or judged.parts is None:
+            does.answers.append((by, Configured(ask.id, ConfigTold(waits=judged.why))))
+        else:
+            text = ask.text if judged.hunks is None else None
+            at, digest = self._at(now), text_digest(ask.text)
+            hunks, parts = judged.hunks or (), judged.parts
+            op = Put(at, ask.id, ask.based_on, text, hunks, digest, ask.by[:100], parts, judged.old)
+            index = self._propose(books.config(op), does, now)
+            self.waiting[index] = (self.raft.term, by, ask.id)
+        return self._settle(does, now)
+
+    def settle(self, number: int, now: float) -> Does:
+        """All of record use the smaller parts of the move that began with this version."""
+        does = Does()
+        if self._leads and self.books.versions.moving == number:
+            self._propose(books.config(Settle(self._at(now), number)), does, now)
+        return self._settle(does, now)
+
     def let_in(self, name: str, now: float) -> Does:
         """A store that is no voter's asks to be one: of a name of the settings, and of another mark."""
         does = Does()
@@ -230,6 +315,7 @@
     def _apply(self, index: int, entry: Entry, does: Does, now: float) -> None:
         self._applied = index
         told = self.books.apply(index, entry.payload)
+        self._since += len(entry.payload)
         if isinstance(told, LeaseTold) and told.number == index:  # granted here and now
             held = next((one for one in self.books.leases.leases.values() if one.number == index), None)
             if held is not None:
@@ -240,6 +326,8 @@
             return
         if term == entry.term and isinstance(told, LeaseTold):
             does.answers.append((by, Took(asked, told)))
+        elif term == entry.term and isinstance(told, ConfigTold):
+            does.answers.append((by, Configured(asked, told)))
         else:
             does.answers.append((by, Elsewhere(asked, self.leader, "another entry took its place")))
 
@@ -265,7 +353,9 @@
                 for by, ask in self.proofs.pop(number):
                     does.answers.append((by, self._proven(ask, now)))
             self._let_in(does, now)
-        if len(self.raft.entries) > COMPACT and self._applied > self.raft.base.index:
+        much = len(self.raft.entries) > COMPACT or self._since > COMPACT_BYTES
+        if much and self._applied > self.raft.base.index:
+            self._since = 0
             does.steps.append(self.raft.compact(self._applied, self.books.snapshot()))
         return does
 
@@ -280,6 +370,12 @@
             return Renewed(ask.id, {} if same else numbers, same)
         if isinstance(ask, AskFree):
             return Freed(ask.id, [task for task in ask.tasks if leases.free(task, self._at(now))])
+        if isinstance(ask, AskConfig):
+            known = self.books.versions
+            lines = [Line(v.number, v.digest.hex(), v.by, v.at, len(v.text)) for v in known.kept.values()]
+            found = known.kept.get(ask.number)
+            text = found.text if found is not None else None
+            return ConfigShown(ask.id, known.stage, known.settled, known.moving, lines, text, self.leader)
         return Shown(
             ask.id,
             self.leader,
