--- a/cherrygrade/fleet/carriers/chamber.py
+++ b/cherrygrade/fleet/carriers/chamber.py
@@ -19,9 +19,10 @@
 
 from cherrygrade.fleet.carriers.disk import Store, open_store
 from cherrygrade.fleet.carriers.places import address
+from cherrygrade.fleet.config.versions import Divisors, difference
 from cherrygrade.fleet.council import raft
 from cherrygrade.fleet.council.raft import Stored
-from cherrygrade.fleet.council.voter import Answers, Asks, Does, Elsewhere, Voter
+from cherrygrade.fleet.council.voter import Answers, AskPut, Asks, Does, Elsewhere, Judged, Voter
 from cherrygrade.fleet.errors import NoVoter, Unreached
 from cherrygrade.site import Council
 from cherrygrade.transport.connection import Connection
@@ -34,6 +35,11 @@
 CONNECT_S, AGAIN_S = 1.0, 0.1
 ASK_S = 1.0  # for an answer of one voter, before another is asked
 LET_IN_MS = 1000.0  # between two asks of a voter without a vote
+MOST_JUDGING = 16  # changes of the configuration at once
+
+Judge = Callable[[str, str], tuple[str, Divisors | None, Divisors | None]]
+"""Of the texts before and after a change: why it is refused, or "" and the divisors of the site that comes of
+it and of the one before. Blocking; it may touch nothing of the dispatcher's."""
 
 _word = msgspec.msgpack.Decoder(raft.Any_)
 _ask = msgspec.msgpack.Decoder(Asks)
@@ -135,8 +141,24 @@
             self._send(kind + _encode(word))
 
 
+def judged(judge: Judge | None, before: str, text: str) -> Judged:
+    """In a thread of its own: RPCs do not wait for a text to be read."""
+    if judge is None:
+        return Judged("this dispatcher takes no configuration")
+    try:
+        why, parts, old = judge(before, text)
+    except Exception as broke:  # whatever reads it: a text that breaks it is refused, and nothing else is
+        return Judged(f"reading it failed: {type(broke).__name__}: {broke}"[:500])
+    if why or parts is None:
+        return Judged(why or "no site comes of it")
+    hunks = difference(before, text)
+    short = sum(len(one) for hunk in hunks for one in hunk.lines) < len(text)
+    return Judged("", parts, old, hunks if short and before else None)
+
+
 class Chamber:
-    """`lines` by voter, `guests` while they stay, `asks` until they are answered or their time is up."""
+    """`lines` by voter, `guests` while they stay, `asks` until they are answered or their time is up;
+    `judging` by an ask's id, while its text is looked at."""
 
     def __init__(
         self,
@@ -149,7 +171,13 @@
         clock: Callable[[], float],
         whereabouts: Callable[[str], str | None],
         log: Callable[..., None],
+        judge: Judge | None = None,
+        agreed: Callable[[], None] = lambda: None,
     ) -> None:
+        """`agreed` is told whenever the log may have come to more, after that is on disk."""
+        self._judge, self._agreed = judge, agreed
+        self.judging: dict[str, asyncio.Task[None]] = {}
+        self._judges = ThreadPoolExecutor(1, "configuration judge")
         self.council, self.fleet, self.name, self.birth = council, fleet, name, birth
         self.source, self.clock, self._whereabouts, self._log = source, clock, whereabouts, log
         self._seed = seed
@@ -201,6 +229,9 @@
             line.conn.close("dispatcher leaves")
         for held in self.asks.values():
             held.cancel()
+        for task in [*self.judging.values()]:
+            task.cancel()
+        self._judges.shutdown(wait=False, cancel_futures=True)
         if self._writing is not None:
             self._writing.cancel()
         self._shut()
@@ -273,10 +304,41 @@
         elif kind == b"r":
             self._do(voter.hear(_word.decode(body), now))
         elif kind == b"q":
-            self._do(voter.ask(_ask.decode(body), line, now))
+            self._asked(voter, _ask.decode(body), line)
         else:
             self._do(voter.let_in(msgspec.msgpack.decode(body, type=str), now))
 
+    def _asked(self, voter: Voter, ask: Asks, by: Line | None) -> None:
+        if not (isinstance(ask, AskPut) and voter.raft.leads):
+            self._do(voter.ask(ask, by, self.clock()))
+        elif ask.id not in self.judging:  # else it is asked again, and the first answer is on its way
+            if len(self.judging) >= MOST_JUDGING:
+                does = Does(answers=[(by, Elsewhere(ask.id, "", "too many changes at once"))])
+                self._do(does)
+                return
+            task = asyncio.get_running_loop().create_task(self._put_judged(ask, by))
+            self.judging[ask.id] = task
+
+    async def _put_judged(self, ask: AskPut, by: Line | None) -> None:
+        voter = self.voter
+        try:
+            assert voter is not None
+            newest = voter.books.versions.newest
+            before = newest.text if newest is not None else ""
+            loop = asyncio.get_running_loop()
+            found = await loop.run_in_executor(self._judges, judged, self._judge, before, ask.text)
+            if newest is not None and newest.number != ask.based_on:
+                found = Judged(found.why, found.parts, found.old)  # refused by the log, whose word it is
+            if self.voter is voter:
+                self._do(voter.put(ask, found, by, self.clock()))
+        finally:
+            self.judging.pop(ask.id, None)
+
+    def settle(self, number: int) -> None:
+        """All of record use the smaller parts of the move that began with this version."""
+        if self.voter is not None:
+            self._do(self.voter.settle(number, self.clock()))
+
     def _beat(self) -> None:
         self._timer = None
         if self.voter is None:
@@ -341,6 +403,7 @@
         if voter.leader != self._led:
             self._led = self.leader = voter.leader
             self._log("council leader", leader=voter.leader, term=voter.raft.term)
+        self._agreed()
 
     def _stop(self, wrong: Exception) -> None:
         self.voter = None
@@ -396,7 +459,7 @@
         held = self.asks[ask.id] = asyncio.get_running_loop().create_future()
         try:
             if name == self.name and self.voter is not None:
-                self._do(self.voter.ask(ask, None, self.clock()))
+                self._asked(self.voter, ask, None)
             else:
                 self._line(name).say(b"q", ask)
             return await asyncio.wait_for(held, within_s)
--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -47,6 +47,7 @@
     at the place that the roll has for it; `nonce` of a `Which`, else 0."""
 
     name: str
+    birth: int
     seat: int
     config: Hint
     first: bool
@@ -119,7 +120,7 @@
         self.talk: dict[str, tuple[float, int]] = {}
         self.back: dict[str, str] = {}
         self.strangers: dict[str, float] = {}  # who asked and is not known, since when; at most MOST_BACK
-        self.config: Hint | None = None  # what it says of its own configuration, if there is any
+        self.config: Hint | None = None  # what it says of its configuration; None: it takes no part in that
         self.config_why = ""  # why it stays on that
         self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
         self._seen_comings = -1
@@ -292,10 +293,12 @@
         self._numbers = (self._numbers + 1) & 0x7FFFFFFF
         return self._numbers
 
-    def _hint(self) -> Hint | None:
-        """Without bits: they go along only where room is filled anyway."""
+    def _hint(self, bits: bool = False) -> Hint | None:
+        """Bits go along only where room is filled anyway; where there is no version yet, nothing does."""
         held = self.config
-        return Hint(held.stage, held.mark) if held is not None else None
+        if held is None or not held.stage:
+            return None
+        return held if bits else Hint(held.stage, held.mark)
 
     def _hinted(
         self, page: Any_, hint: Hint | None, first: bool, mail: Mail, nonce: int = 0, why: str = ""
@@ -304,7 +307,7 @@
         member = self.roll.members.get(page.name)
         if hint is None or member is None or not member.living or member.birth != page.birth:
             return
-        mail.hints.append(Hinted(page.name, member.seat, hint, first, nonce, why))
+        mail.hints.append(Hinted(page.name, page.birth, member.seat, hint, first, nonce, why))
 
     def _carry(self, hearer: str, birth: int = -1) -> list[Claim]:
         """News for a hearer: before all what is said against itself, so that it can speak for itself."""
@@ -320,7 +323,7 @@
             if member.facts is not None:
                 # Of many that may have died few would read news.
                 news = self._carry(member.name) if len(does.probe) == 1 else []
-                page = Probe(self.name, self.birth, number, self.roll.digest, news, met, config=self.config)
+                page = Probe(self.name, self.birth, number, self.roll.digest, news, met, config=self._hint(True))
                 mail.to(member, page)
         for helper, target, number in does.ask:
             if target.facts is not None:
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -200,6 +200,9 @@
     assert [type(page) for page in asks] == [Which]
     data = book.write(Which("d9", 1, 2**64 - 1))
     assert not here.hear(book.read(data), "10.0.0.9:1", 3.0).answers
+    here.config = Hint(0, 0)  # none yet: told to who asks, and rides on nothing
+    assert here.hear(book.read(data), "10.0.0.9:1", 3.0).answers == [Here("d0", 1, 2**64 - 1, 0, Hint(0, 0))]
+    assert here.hear(Probe("d7", 1, 9, 9), "10.0.0.7:1", 3.0).answers[0].config is None
     here.config, here.config_why = HINT, "x" * 120
     answer = here.hear(book.read(data), "10.0.0.9:1", 3.0).answers[0]
     assert answer == Here("d0", 1, 2**64 - 1, 0, HINT, "x" * 120)
