The configuration's carrier: kept files, streams to fetch by, an operator's commands

Sockets, timer and disk of one dispatcher's replica; the party starts it where there is a council and somebody to put versions in force. Commands put, show, wait and back ask any dispatcher, which asks the council.

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -26,7 +26,9 @@
 standin = App(name="standin", help="Stand-ins for storage nodes and the register.")
 lab = App(name="lab", help="Scenarios, load and audit on loopback sockets.")
 fleet = App(name="fleet", help="Dispatchers that know each other: who is there, and what they take it for.")
+config = App(name="config", help="The fleet's one configuration, over each dispatcher's own file.")
 app.command(fleet)
+fleet.command(config)
 app.command(standin)
 app.command(lab)
 
@@ -180,6 +182,53 @@
     return 0
 
 
+At = Annotated[str, Parameter(name="--at")]
+
+
+@config.command(name="put")
+def config_put(file: Path, *, at: At = "127.0.0.1:7500") -> int:
+    """Make the record text in FILE the fleet's configuration, laid over each dispatcher's own file.
+
+    Exit code 0: agreed, and told by its number; 1: refused, with why; 2: FILE or arguments are wrong, nobody
+    was asked; 3: no dispatcher answers at AT (its fleet.place), or no majority of the council does.
+    """
+    from cherrygrade.fleet.carriers.operator import put
+
+    return put(file, at)
+
+
+@config.command(name="show")
+def config_show(number: int = 0, *, at: At = "127.0.0.1:7500") -> int:
+    """Show the versions that are kept, the newest last, and what is in force at AT; with NUMBER its text.
+
+    Exit code 0: as the council has it; 1: NUMBER is not kept; 2: arguments are wrong; 3: nobody answers at
+    AT, or no majority of the council (what is in force at AT is shown then too).
+    """
+    from cherrygrade.fleet.carriers.operator import show
+
+    return show(number, at)
+
+
+@config.command(name="wait")
+def config_wait(number: int, *, at: At = "127.0.0.1:7500", within_s: float = 60.0) -> int:
+    """Wait until version NUMBER, or a later one, is in force at all that live, and settled; tell who is
+    missing and why.
+
+    Exit code 0: it is; 1: not within so many seconds; 2: arguments are wrong; 3: nobody answers at AT.
+    """
+    from cherrygrade.fleet.carriers.operator import wait
+
+    return wait(number, at, within_s)
+
+
+@config.command(name="back")
+def config_back(number: int, *, at: At = "127.0.0.1:7500") -> int:
+    """Put the text of version NUMBER again, as a new version. Exit codes as for put."""
+    from cherrygrade.fleet.carriers.operator import back
+
+    return back(number, at)
+
+
 @standin.command(name="receiver")
 def standin_receiver(record: Path, *, listen: str = "127.0.0.1:0", numbered: bool = True) -> None:
     """Carry out orders of leases' holders and record them; without numbers, whatever comes."""
--- a/cherrygrade/fleet/carriers/kept.py
+++ b/cherrygrade/fleet/carriers/kept.py
@@ -69,6 +69,10 @@
         finally:
             os.close(folder)
 
+    def remove(self) -> None:
+        """What is kept is of no use any more, and must not come back."""
+        self.file.unlink(missing_ok=True)
+
     def put_aside(self) -> Path | None:
         """Out of the way, for people to look at; where it is now."""
         if not self.file.exists():
--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -28,7 +28,9 @@
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
 
 if TYPE_CHECKING:
-    from cherrygrade.fleet.carriers.chamber import Chamber, Guest
+    from cherrygrade.fleet.carriers.chamber import Chamber, Guest, Judge
+    from cherrygrade.fleet.carriers.config import Configuration, Giver, InForce
+    from cherrygrade.fleet.carriers.operator import Desk
     from cherrygrade.fleet.carriers.tasks import Tasks
 
 EXCHANGE_S = 2.0
@@ -63,7 +65,14 @@
         clock: Callable[[], float],
         heard: Callable[[int, bytes], None],
         log: Callable[..., None],
+        in_force: InForce | None = None,
+        judge: Judge | None = None,
     ) -> None:
+        """`in_force`, where there is a council: configuration is on, and put in force by this. `judge`: of a
+        change that somebody asks for."""
+        self._in_force, self._judge = in_force, judge
+        self.config: Configuration | None = None
+        self.desks: dict[Desk, None] = {}
         self.fleet, self.name, self.clock = fleet, name, clock
         self._heard, self._log, self._seed = heard, log, seed
         self.book = Book(fleet.name)
@@ -87,6 +96,8 @@
     async def start(self) -> None:
         host, _, port = (self.fleet.bind or self.fleet.place).rpartition(":")
         loop = asyncio.get_running_loop()
+        if self.fleet.council is not None and self._in_force is not None:
+            await self._configure(self.fleet.council, host, self._in_force)
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: Ear(self), local_addr=(host, int(port))
         )
@@ -95,6 +106,23 @@
         if self.fleet.council is not None:
             await self._sit(self.fleet.council, host)
 
+    async def _configure(self, council: Council, host: str, in_force: InForce) -> None:
+        from cherrygrade.fleet.carriers.config import Configuration
+
+        self.config = Configuration(
+            self.fleet.name,
+            self.core,
+            council,
+            self.fleet.config_file,
+            host,
+            self._seed,
+            self.clock,
+            in_force,
+            self._post,
+            self._log,
+        )
+        await self.config.start()
+
     async def _sit(self, council: Council, host: str) -> None:
         # Where no council is named, none of it is loaded.
         from cherrygrade.fleet.carriers.chamber import Chamber
@@ -111,8 +139,12 @@
             self.clock,
             self._where,
             self._log,
+            self._judge,
+            lambda: self.config.agreed() if self.config is not None else None,
         )
         await self.chamber.start()
+        if self.config is not None:
+            self.config.ready(self.chamber)
         self.tasks = Tasks(
             self.chamber,
             council,
@@ -157,6 +189,10 @@
             stream.conn.close("dispatcher leaves")
         if self.tasks is not None:
             self.tasks.close()
+        if self.config is not None:
+            self.config.close()
+        for desk in [*self.desks]:
+            desk.conn.close("dispatcher leaves")
         if self.chamber is not None:
             self.chamber.close()
 
@@ -197,6 +233,7 @@
             "nodes": self._nodes(now),
             "council": self.chamber.status() if self.chamber is not None else None,
             "leases": self.tasks.status() if self.tasks is not None else None,
+            "config": self.config.status() if self.config is not None else None,
         }
 
     def _nodes(self, now: float) -> list[dict[str, Any]]:
@@ -283,6 +320,8 @@
             self._exchange(name, place)
         for seat, payload in mail.words:
             self._heard(seat, payload)
+        if mail.hints and self.config is not None:
+            self.config.heard(mail.hints)
         self._show()
         at = self.core.due()
         if at < 1e14 and (self._timer is None or at < self._timer_at - 1.0):
@@ -340,7 +379,7 @@
         self.task: asyncio.Task[None] | None = None
         self.conn = Connection(self, 0)
         self.peer = ""
-        self.guest: Guest | None = None
+        self.guest: Guest | Giver | Desk | None = None
         self._claims: list[Claim] = []
         self._frames = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -385,6 +424,11 @@
                 conn.send(Welcome(VERSION, self.party.name))
             elif message.role == "council" and message.features[:1] == [self.party.fleet.name]:
                 self._council(message.name)
+            elif message.role == "config" and message.features[:1] == [self.party.fleet.name]:
+                config = self.party.config
+                self._stays(config.welcome(conn) if config is not None else None, message.name)
+            elif message.role == "operator":
+                self._stays(self._desk(), message.name)
             else:
                 conn.close(f"not of this fleet: {message.role} {message.features[:1]}"[:200])
         elif isinstance(message, Welcome) and self.to and not self.peer:
@@ -415,11 +459,24 @@
                 self.conn.close("exchanged")
 
     def _council(self, name: str) -> None:
-        """It stays, and is none of the exchanges that end by time."""
         chamber = self.party.chamber
-        self.guest = chamber.welcome(self.conn, name) if chamber is not None else None
-        if self.guest is None:
-            self.conn.close("no council sits here")
+        self._stays(chamber.welcome(self.conn, name) if chamber is not None else None, name)
+
+    def _desk(self) -> Desk | None:
+        from cherrygrade.fleet.carriers.operator import MOST_OPERATORS, Desk
+
+        party = self.party
+        if party.config is None or party.chamber is None or len(party.desks) >= MOST_OPERATORS:
+            return None
+        desk = Desk(party.config, party.chamber, self.conn, lambda: party.desks.pop(desk, None))
+        party.desks[desk] = None
+        return desk
+
+    def _stays(self, guest: Guest | Giver | Desk | None, name: str) -> None:
+        """It is none of the exchanges, and has its own time or none."""
+        self.guest = guest
+        if guest is None:
+            self.conn.close("nobody here for that, or too many at once")
             return
         self.peer = name
         if self._timer is not None:
--- a/cherrygrade/fleet/council/voter.py
+++ b/cherrygrade/fleet/council/voter.py
@@ -199,12 +199,12 @@
 
     def due(self) -> float:
         at = min(self.raft.due(), self._prove_at)
-        if self._leads:
+        if self.leads:
             at = min(at, self.count.due(self.books.leases))
         return at
 
     @property
-    def _leads(self) -> bool:
+    def leads(self) -> bool:
         """It leads, and all of before is applied here."""
         return self.raft.leads and self.raft.term_at(self.raft.agreed) == self.raft.term
 
@@ -219,7 +219,7 @@
         does = Does()
         if now >= self.raft.due():
             self._step(self.raft.tick(now), does, now)
-        if self._leads:
+        if self.leads:
             for lease in self.count.over(self.books.leases, now, FREE_AT_ONCE):
                 self._propose(books.lease(Free(self._at(now), lease.task, lease.number)), does, now)
         if now >= self._prove_at:
@@ -269,7 +269,7 @@
     def settle(self, number: int, now: float) -> Does:
         """All of record use the smaller parts of the move that began with this version."""
         does = Does()
-        if self._leads and self.books.versions.moving == number:
+        if self.leads and self.books.versions.moving == number:
             self._propose(books.config(Settle(self._at(now), number)), does, now)
         return self._settle(does, now)
 
--- a/cherrygrade/fleet/errors.py
+++ b/cherrygrade/fleet/errors.py
@@ -29,3 +29,22 @@
 
     means = "What holders have goes on until its end; nothing new is granted. RPCs do not wait for it."
     do = "See `cherrygrade fleet status` for which voters live: more than half of them have to."
+
+
+class ConfigUnreached(Trouble):
+    """The configuration can't be asked for or changed now."""
+
+    means = "Nothing was changed; all dispatchers serve on with what they have."
+    do = "See `cherrygrade fleet status` for which voters live: more than half of them have to."
+
+
+class ConfigRefused(Trouble):
+    means = "No version came of it; all dispatchers serve on with what they have."
+    do = "Mend what is named there, then put again."
+
+
+class NoConfig(Trouble):
+    """The arguments are wrong."""
+
+    means = "Nothing was changed."
+    do = "See `cherrygrade fleet config show` for the versions that are kept."
--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -120,7 +120,7 @@
         self.talk: dict[str, tuple[float, int]] = {}
         self.back: dict[str, str] = {}
         self.strangers: dict[str, float] = {}  # who asked and is not known, since when; at most MOST_BACK
-        self.config: Hint | None = None  # what it says of its configuration; None: it takes no part in that
+        self.config: Hint | None = None  # what it says of its configuration; None: it has no part in that
         self.config_why = ""  # why it stays on that
         self._numbers = crc32(f"{seed}:{name}:{birth}".encode())
         self._seen_comings = -1
@@ -323,7 +323,8 @@
             if member.facts is not None:
                 # Of many that may have died few would read news.
                 news = self._carry(member.name) if len(does.probe) == 1 else []
-                page = Probe(self.name, self.birth, number, self.roll.digest, news, met, config=self._hint(True))
+                hint = self._hint(bits=True)
+                page = Probe(self.name, self.birth, number, self.roll.digest, news, met, config=hint)
                 mail.to(member, page)
         for helper, target, number in does.ask:
             if target.facts is not None:
--- a/cherrygrade/site.py
+++ b/cherrygrade/site.py
@@ -150,7 +150,8 @@
 class Fleet:
     """A fleet of dispatchers that know each other. Place: host:port that others reach this one at, by
     datagram and stream; bind: where it listens, where that is another. Contacts: places of a few others.
-    Ms: between two probes; how long the dead are remembered. Council: where one is named, its voters."""
+    Ms: between two probes; how long the dead are remembered. Council: where one is named, its voters.
+    Config file: where the fleet's configuration is kept over a restart; "": nowhere."""
 
     name: str
     place: str
@@ -160,6 +161,7 @@
     period_ms: float = 400.0
     keep_ms: float = 600000.0
     council: Council | None = None
+    config_file: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_config_council.py
@@ -0,0 +1,201 @@
+"""Versions of the configuration in the council's log: one order for all, however it was asked for, over
+snapshots, restarts and logs of a program before it."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from test_leases import NAMES, Council
+
+from cherrygrade.fleet.config.versions import Divisors, difference
+from cherrygrade.fleet.council import books, voter
+from cherrygrade.fleet.council.books import Books
+from cherrygrade.fleet.council.raft import MOST_SENT_BYTES, Append, Raft, Stored
+from cherrygrade.fleet.council.voter import (
+    AskConfig,
+    AskPut,
+    AskTake,
+    ConfigShown,
+    Configured,
+    Elsewhere,
+    Judged,
+    Took,
+)
+
+SEATS = Divisors(3)
+
+
+class Voters(Council):
+    """With changes asked for as the chamber does: judged, then put."""
+
+    def put(self, text: str, based_on: int, id: str, name: str = "", parts: Divisors = SEATS):
+        self.answers.clear()
+        name = name or self.leader()
+        before = self.voters[name].books.versions.newest
+        hunks = difference(before.text, text) if before is not None and before.number == based_on else None
+        judged = Judged("", parts, SEATS, hunks)
+        ask = AskPut(id, text, based_on, "operator")
+        self.do(name, self.voters[name].put(ask, judged, "asker", self.now))
+        self.pass_ms(300.0)
+        return self.answers[0] if self.answers else None
+
+    def shown(self, number: int = 0) -> ConfigShown:
+        found = self.ask(AskConfig("show", number))
+        assert isinstance(found, ConfigShown)
+        return found
+
+    def known(self, name: str) -> list[tuple[int, str, str]]:
+        kept = self.voters[name].books.versions.kept.values()
+        return [(one.number, one.text, one.digest.hex()) for one in kept]
+
+
+def number(answer: object) -> int:
+    assert isinstance(answer, Configured), answer
+    assert not answer.told.waits, answer.told.waits
+    return answer.told.number
+
+
+def refusal(answer: object) -> str:
+    assert isinstance(answer, Configured), answer
+    assert answer.told.number == 0 and answer.told.waits
+    return answer.told.waits
+
+
+def test_a_change_becomes_the_next_version_on_every_voter_and_shows():
+    council = Voters()
+    assert number(council.put("a: 1\n", 0, "one")) == 1
+    assert number(council.put("a: 2\n", 1, "two")) == 2
+    assert council.known("a") == council.known("b") == council.known("c")
+    shown = council.shown(1)
+    assert [one.number for one in shown.lines] == [1, 2] and shown.text == "a: 1\n"
+    assert (shown.stage, shown.settled, shown.moving) == (5, 2, 0)
+    assert shown.lines[-1].by == "operator" and council.shown(9).text is None
+
+
+def test_of_two_at_once_the_log_takes_one_and_the_other_is_told_which_came_first():
+    council = Voters()
+    assert number(council.put("a: 1\n", 0, "one")) == 1
+    assert "1 is the newest, not 0" in refusal(council.put("b: 1\n", 0, "other"))
+    assert len(council.known("a")) == 1
+
+
+def test_asked_again_under_its_id_it_is_put_once_also_behind_another_leader():
+    council = Voters()
+    assert number(council.put("a: 1\n", 0, "one")) == 1
+    assert number(council.put("a: 2\n", 1, "two")) == 2
+    council.cut = {council.leader()}
+    council.pass_ms(4000.0)
+    assert number(council.put("a: 1\n", 0, "one")) == 1  # its answer was lost with the leader
+    assert [one[0] for one in council.known(council.leader())] == [1, 2]
+
+
+def test_who_does_not_lead_says_who_does_and_an_unjudged_text_is_never_proposed():
+    council = Voters()
+    leader = council.leader()
+    other = next(name for name in NAMES if name != leader)
+    answer = council.put("a: 1\n", 0, "one", other)
+    assert isinstance(answer, Elsewhere) and answer.leader == leader
+    answer = council.ask(AskPut("one", "a: 1\n", 0, "operator"))
+    assert isinstance(answer, Elsewhere) and "not judged" in answer.why
+    refused = Judged("needs a restart: bounds.most_body")
+    council.answers.clear()
+    ask = AskPut("one", "a: 1\n", 0, "operator")
+    council.do(leader, council.voters[leader].put(ask, refused, "asker", council.now))
+    assert refusal(council.answers[0]) == "needs a restart: bounds.most_body"
+    council.pass_ms(500.0)
+    assert not council.known(leader)
+
+
+def test_parts_that_move_are_settled_by_the_leader_alone_and_once():
+    council = Voters()
+    leader = council.leader()
+    assert number(council.put("a: 1\n", 0, "one", parts=Divisors(5))) == 1
+    versions = council.voters[leader].books.versions
+    assert (versions.stage, versions.moving) == (2, 1)
+    assert "parts still move" in refusal(council.put("a: 2\n", 1, "two", parts=Divisors(7)))
+    for name in NAMES:
+        if name != leader:
+            council.do(name, council.voters[name].settle(1, council.now))
+    council.pass_ms(300.0)
+    assert versions.moving == 1
+    for _ in range(2):
+        council.do(leader, council.voters[leader].settle(1, council.now))
+        council.pass_ms(300.0)
+    assert (versions.stage, versions.moving) == (3, 0)
+    assert {voter.books.versions.stage for voter in council.voters.values()} == {3}
+
+
+def test_a_restart_behind_a_snapshot_has_the_versions_again(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(voter, "COMPACT", 5)
+    council = Voters()
+    for at in range(12):
+        assert number(council.put(f"a: {at}\n", at, f"id {at}")) == at + 1
+    name = council.leader()
+    before = council.known(name)
+    assert council.disks[name].base.data
+    for one in NAMES:
+        council.restart(one)
+    council.pass_ms(3000.0)
+    assert council.known(council.leader()) == before
+    assert number(council.put("a: 3\n", 3, "id 3")) == 4  # ids are kept over it too
+
+
+def test_a_log_of_much_text_becomes_a_snapshot_too(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(voter, "COMPACT_BYTES", 100_000)
+    council = Voters()
+    for at in range(8):
+        text = "".join(f"key{at}_{line}: {line}\n" for line in range(2000))
+        assert number(council.put(text, at, f"id {at}")) == at + 1
+        held = sum(len(entry.payload) for entry in council.voters[council.leader()].raft.entries)
+        assert held < 100_000 + 50_000
+
+
+class OldState(msgspec.Struct, array_like=True):
+    """A snapshot's, of a program of before."""
+
+    permits: bytes
+    leases: books.grants.State
+
+
+def test_a_snapshot_of_before_restores_and_one_of_now_is_read_by_a_program_of_before():
+    council = Voters()
+    assert isinstance(council.ask(AskTake("t1", "task", "x", 1, 3000.0)), Took)
+    known = council.voters[council.leader()].books
+    old = msgspec.msgpack.encode(OldState(known.permits.snapshot(), known.leases.state()))
+    assert number(council.put("a: 1\n", 0, "one")) == 1
+    again = Books()
+    again.restore(known.snapshot())
+    assert again.versions.state() == known.versions.state() and "task" in again.leases.leases
+    again.restore(old)
+    assert again.versions.newest is None and "task" in again.leases.leases
+    read = msgspec.msgpack.decode(known.snapshot(), type=OldState)
+    assert read.leases == known.leases.state()
+
+
+def test_an_entry_that_cant_be_read_does_nothing_on_any_voter():
+    held = Books()
+    for payload in (b"c", b"c\x93junk", b"c" + msgspec.msgpack.encode(["v", 1.0]), b"x"):
+        told = held.apply(1, payload)
+        assert told is None or told.waits
+    assert held.versions.newest is None
+
+
+def test_a_message_between_voters_holds_a_bounded_number_of_bytes_and_one_entry_at_least():
+    raft = Raft("a/0", Stored(0, "", voter.founded(["a", "b", "c"]), []), 1, 0.0)
+    raft.stand(1000.0)
+    raft.hear(voter_vote("b/0", raft.term), 1000.0)
+    assert raft.leads
+    sizes = [300_000] * 9 + [3 * MOST_SENT_BYTES]
+    for size in sizes:
+        _, does = raft.propose(bytes(size), 1000.0)
+        said = [word for _, word in does.mail if isinstance(word, Append)]
+        assert said
+        for word in said:
+            length = sum(len(entry.payload) for entry in word.entries)
+            assert len(word.entries) == 1 or length <= MOST_SENT_BYTES
+
+
+def voter_vote(name: str, term: int):
+    from cherrygrade.fleet.council.raft import Vote
+
+    return Vote(name, term, True)
--- /dev/null
+++ b/tests/test_config_processes.py
@@ -0,0 +1,331 @@
+"""One configuration between processes of the program: killed, cut off, stopped, torn, lied to; judged by what
+each has in force, by its digest, and by its log. Limits under a cut: test_config_in_force.py."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from configured import ROOT, WITHIN_S, Fleet, limit, play
+
+from cherrygrade.fleet.carriers.ask import ask
+from cherrygrade.fleet.errors import ConfigRefused, ConfigUnreached
+from cherrygrade.fleet.members.pages import Hint
+
+# A program of before: what it does not know breaks its reader.
+OLDER = """
+import cherrygrade.records.load as load
+held = load.read_site
+def read_site(path, extra=""):
+    if "30303" in extra:
+        raise RecursionError("a form that this program never met")
+    return held(path, extra)
+load.read_site = read_site
+"""
+
+
+def command(*parts: str) -> tuple[int, str, float]:
+    """Exit code, what it told, seconds."""
+    begun = time.monotonic()
+    line = [sys.executable, "-m", "cherrygrade", "fleet", "config", *parts]
+    done = subprocess.run(line, cwd=ROOT, capture_output=True, text=True, timeout=30.0)
+    return done.returncode, done.stdout + done.stderr, time.monotonic() - begun
+
+
+async def commanded(*parts: str) -> tuple[int, str, float]:
+    return await asyncio.to_thread(command, *parts)
+
+
+def test_a_leader_killed_between_agreement_and_its_first_word_loses_no_version(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        leader = await fleet.leader()
+        fleet.ways.mute.add(leader)  # the voters' streams go on, its pages are lost
+        assert await fleet.put(limit(800), at=leader) == 2
+        await fleet.kill(leader)
+        await fleet.all_on(2)
+        await fleet.start(leader)
+        fleet.ways.mute.clear()
+        await fleet.all_on(2)
+
+    play(story, tmp_path)
+
+
+def test_two_operators_at_once_one_is_told_that_another_came_first(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        both = [fleet.put(limit(900 + at), at=at, based_on=0) for at in (3, 4)]
+        told = await asyncio.gather(*both, return_exceptions=True)
+        assert sorted(type(one) for one in told if not isinstance(one, int)) == [ConfigRefused]
+        assert [one for one in told if isinstance(one, int)] == [1]
+        assert "1 is the newest, not 0" in next(str(one) for one in told if not isinstance(one, int))
+        await fleet.all_on(1)
+        texts = {(await fleet.show(1, at))["text"] for at in range(fleet.count)}
+        assert len(texts) == 1 and texts < {limit(903), limit(904)}
+
+    play(story, tmp_path)
+
+
+def test_torn_files_of_a_voter_and_of_a_member_are_put_aside_and_all_is_had_again(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        for at in range(3):
+            assert await fleet.put(limit(900 - at)) == at + 1
+        await fleet.all_on(3)
+        leader = await fleet.leader()
+        voter = (leader + 1) % 3
+        for number in (voter, 4):
+            await fleet.kill(number)
+            for file in (tmp_path / f"d{number}").glob("*"):
+                if file.name in ("kept", "council.mdb"):
+                    data = bytearray(file.read_bytes())
+                    half = len(data) // 2
+                    data[half : half + 64] = bytes(64)
+                    file.write_bytes(data[:-9])
+        for number in (voter, 4):
+            await fleet.start(number)
+        await fleet.all_on(3)
+        for number in (voter, 4):
+            assert len(fleet.log(number, "configuration torn")) == 1
+            assert (tmp_path / f"d{number}" / "kept.aside-0").exists()
+
+        async def votes() -> bool:
+            return bool((await ask(fleet.at(voter)))["council"]["votes"])
+
+        await fleet.until(votes, 10.0)
+        other = next(number for number in range(3) if number not in (leader, voter))
+        await fleet.kill(other)  # the one that was let in has to count now
+        assert await fleet.put(limit(700), at=leader) == 4
+        await fleet.all_on(4)
+
+    play(story, tmp_path)
+
+
+def test_half_against_half_a_change_here_and_a_restart_there(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        half = {3, 4, 5}
+        fleet.ways.act("cut", {"on": "3 4 5"})
+        assert await fleet.put(limit(800)) == 2
+        await fleet.all_on(2, but=(3, 4, 5))
+        with pytest.raises(ConfigUnreached):
+            await fleet.put(limit(700), at=3)
+        await fleet.kill(4)
+        await fleet.start(4)
+        assert await fleet.numbers(0, 1, 2) == dict.fromkeys(half, 1)  # kept, and nothing newer is known
+        assert fleet.in_force(4) == [3, 3]
+        fleet.ways.act("heal", {"on": "3 4 5"})
+        await fleet.all_on(2)
+
+    play(story, tmp_path, 6)
+
+
+def test_forty_changes_missed_by_one_cut_off_and_by_one_that_stood_still(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        fleet.ways.act("cut", {"on": "4"})
+        fleet.signal(3, signal.SIGSTOP)
+        stopped = time.monotonic()
+        for at in range(40):
+            assert await fleet.put(limit(901 + at)) == 2 + at
+        await fleet.all_on(41, but=(3, 4))
+        assert await fleet.numbers(0, 1, 2, 3) == {4: 1}
+        fleet.ways.act("heal", {"on": "4"})
+        await fleet.all_on(41, but=(3,))
+        await asyncio.sleep(max(0.0, 10.0 - (time.monotonic() - stopped)))
+        fleet.signal(3, signal.SIGCONT)
+        await fleet.all_on(41)
+        for number in (3, 4):  # passed over to the newest, not one by one
+            assert len(fleet.in_force(number)) <= 5
+
+    play(story, tmp_path)
+
+
+def test_one_that_starts_with_what_it_kept_last_week_serves_on_that_and_goes_on_from_there(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        old = (tmp_path / "d4" / "kept").read_bytes()
+        await fleet.kill(4)
+        for at in range(3):
+            assert await fleet.put(limit(800 + at)) == 2 + at
+        assert (tmp_path / "d4" / "kept").read_bytes() == old
+        await fleet.start(4)
+        assert fleet.in_force(4)[:2] == [3, 3]  # before it listened
+        await fleet.all_on(4)
+
+    play(story, tmp_path)
+
+
+def test_one_whose_streams_are_refused_says_that_it_cant_fetch_and_has_it_once_they_are_not(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        fleet.ways.refused.add(4)
+        assert await fleet.put(limit(800)) == 2
+        await fleet.all_on(2, but=(4,))
+
+        async def told() -> bool:
+            return "can't fetch" in (await fleet.missing(2)).get("d4", "")
+
+        await fleet.until(told, WITHIN_S)
+        assert await fleet.numbers(0, 1, 2, 3) == {4: 1}
+        assert "can't fetch" in (await fleet.status(4))["trouble"]
+        fleet.ways.refused.clear()
+        await fleet.all_on(2)
+        assert not (await fleet.status(4))["trouble"]
+
+    play(story, tmp_path)
+
+
+def test_a_change_that_breaks_the_reader_of_an_older_program_leaves_that_one_on_what_it_has(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        leader = await fleet.leader()
+        voter = (leader + 1) % 3
+        for number in (voter, 4):
+            await fleet.kill(number)
+            fleet.programs[number] = OLDER
+            await fleet.start(number)
+        await fleet.all_on(1)
+        assert await fleet.put(limit(30303), at=leader) == 2
+        await fleet.all_on(2, but=(voter, 4))
+
+        async def told() -> bool:
+            missing = await fleet.missing(2, leader)
+            return all("refused" in missing.get(f"d{number}", "") for number in (voter, 4))
+
+        await fleet.until(told, WITHIN_S)
+        assert {fleet.log(number, "configuration refused")[-1]["number"] for number in (voter, 4)} == {2}
+        assert await fleet.numbers(leader) == {
+            number: 1 if number in (voter, 4) else 2 for number in fleet.running if number != leader
+        }
+        assert await fleet.put(limit(700), at=leader) == 3  # its log goes on with the others'
+        await fleet.all_on(3)
+        assert {(await fleet.show(2, at))["text"] for at in fleet.running} == {limit(30303)}
+
+    play(story, tmp_path)
+
+
+def test_a_member_that_lies_about_its_number_moves_nobody(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        fleet.ways.liars[4] = lambda told: Hint(told.stage + 200, told.mark ^ 1, told.bits)
+        await asyncio.sleep(3.0)
+        assert await fleet.numbers() == dict.fromkeys(range(5), 1)
+        fleet.ways.liars[4] = lambda told: Hint(told.stage + 2, told.mark ^ 1, told.bits)  # of the next one
+        assert await fleet.put(limit(800)) == 2
+        await fleet.all_on(2)
+        assert {(await fleet.status(at))["trouble"] for at in range(4)} == {""}
+
+    play(story, tmp_path)
+
+
+def changes(fleet: Fleet, count: int, every_s: float):
+    """So many changes, one about every `every_s`, asked of whoever answers; the leader dies a third in."""
+
+    async def doing() -> int:
+        newest, killed = 1, -1
+        for at in range(count):
+            begun = time.monotonic()
+            while True:
+                through = next(number for number in (3, 4) if number in fleet.running)
+                try:
+                    newest = await fleet.put(limit(1000 + at), at=through)
+                    break
+                except (ConfigUnreached, ConfigRefused):  # it may have come to be: then nothing is lost by it
+                    await asyncio.sleep(0.1)
+            if at == count // 3:
+                killed = await fleet.leader()
+                await fleet.kill(killed)
+            if at == 2 * count // 3:
+                await fleet.start(killed)
+            await asyncio.sleep(max(0.0, every_s - (time.monotonic() - begun)))
+        return newest
+
+    return doing()
+
+
+def test_twenty_changes_in_five_seconds_beside_a_killed_leader(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        newest = await changes(fleet, 20, 0.25)
+        assert newest >= 21
+        await fleet.all_on(newest)
+
+    play(story, tmp_path)
+
+
+@pytest.mark.long
+def test_a_hundred_changes_in_a_minute_beside_a_killed_leader(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        newest = await changes(fleet, 100, 0.6)
+        assert newest >= 101
+        await fleet.all_on(newest)
+
+    play(story, tmp_path)
+
+
+def test_the_commands_tell_an_operator_what_came_of_it_and_what_to_do(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        file = tmp_path / "change.rec"
+        file.write_text(limit(800))
+        at = ("--at", fleet.at(3))
+        code, told, _ = await commanded("put", str(file), *at)
+        assert code == 0 and told.startswith("version 1 "), told
+        code, told, _ = await commanded("wait", "1", *at)
+        assert code == 0 and "in force at all that live" in told, told
+        file.write_text("bounds: most_body: 1000000\n")
+        code, told, _ = await commanded("put", str(file), *at)
+        assert code == 1 and "bounds.most_body" in told and "serve on" in told, told
+        file.write_text("plans: plan: {limit_rate: \n")
+        code, told, _ = await commanded("put", str(file), *at)
+        assert code == 2 and str(file) in told, told
+        file.write_text(limit(700))
+        assert (await commanded("put", str(file), *at))[0] == 0
+        code, told, _ = await commanded("show", *at)
+        assert code == 0 and len(told.splitlines()) == 3 and "version 2" in told, told
+        code, told, _ = await commanded("show", "1", *at)
+        assert (code, told) == (0, limit(800))
+        code, told, _ = await commanded("back", "1", *at)
+        assert code == 0 and told.startswith("version 3 "), told
+        assert (await fleet.show(3))["text"] == limit(800)
+        assert (await commanded("show", "9", *at))[0] == 1
+        await fleet.all_on(3)
+        await fleet.kill(4)
+        for number in (1, 2):  # no majority is left
+            await fleet.kill(number)
+        code, told, took = await commanded("put", str(file), *at)
+        assert code == 3 and "serve on" in told and "voters" in told, told
+        assert took < 2.0, took
+        code, told, _ = await commanded("show", *at)
+        assert code == 3 and "in force" in told and "version 3" in told, told
+        assert await fleet.numbers() == {0: 3, 3: 3}
+        code, told, _ = await commanded("wait", "4", *at, "--within-s", "0.5")
+        assert code == 1 and "d3" in told and "on version 3" in told and "d4" in told, told
+        await fleet.start(1)
+        code, told, took = await commanded("put", str(file), "--at", fleet.at(1))
+        while code == 3 and took < 10.0:
+            code, told, _ = await commanded("put", str(file), "--at", fleet.at(1))
+        assert code == 0 and told.startswith("version 4 "), told
+        code, told, _ = await commanded("wait", "4", *at, "--within-s", "6")
+        assert code == 0 and "not there: d4" in told, told
+
+    play(story, tmp_path)
+
+
+def test_nobody_at_the_place_is_told_so():
+    code, told, took = command("show", "--at", "127.0.0.1:9")
+    assert code == 3 and "does not answer" in told and took < 3.0
+    code, told, _ = command("show", "--at", "nowhere")
+    assert code == 2
+
+
