Pages tell what the replica came to by words alone too: a voter stayed unsure to others for good

Seen between processes: two voters of three, whose own log had brought the version, went on answering that they were not sure. What pages say is now drawn after each word that came, not only after a version came into force.

--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -197,6 +197,7 @@
         self.settling: Settling | None = None
         self.kept_why = "" if file else "kept in memory alone"
         self.fetched_bytes = self.given_bytes = self.saves = 0
+        self.since = 0.0  # when the one in force came into force, by this machine's clock
         self._settling_of = (0, 0)  # the term and the move that `settling` is of
         self._learned = (-1, False)  # stage of the voter's log, and whether it leads with all of it
         self._asked = 0
@@ -368,6 +369,7 @@
             if self._work is None:
                 self._work = asyncio.get_running_loop().create_task(self._carry())
         else:
+            self._show()  # it may have become sure, or heard who else is on it
             self._tell(does)
 
     async def _carry(self) -> None:
@@ -417,6 +419,8 @@
             why = self._in_force(version, stage)
         except Exception as broke:  # a text that breaks this program's reader is refused like any other
             why = f"reading it failed: {type(broke).__name__}: {broke}"[:500]
+        if not why:
+            self.since = self.clock()
         facts = {"number": version.number, "stage": stage, "digest": version.digest.hex()[:16]}
         if why:
             means = "This dispatcher stays on what it has."
@@ -479,6 +483,7 @@
             "digest": version.digest.hex() if version is not None else "",
             "by": version.by if version is not None else "",
             "settled": bool(replica.stage % 2),
+            "since": self.since,
             "sure": replica.sure,
             "trouble": replica.status(),
             "kept": self.kept_why or str(self.file.file if self.file is not None else ""),
--- a/tests/configured.py
+++ b/tests/configured.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import signal
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -13,7 +14,7 @@
 
 import msgspec
 from house import House, run
-from test_fleet_processes import ROOT, both_ports
+from test_fleet_processes import ROOT
 
 from cherrygrade.fleet.carriers.ask import ask
 from cherrygrade.fleet.carriers.disk import found
@@ -47,6 +48,25 @@
     return f"plans: plan: {{usual_rate: 1000, limit_rate: {rate}, limit_depth: 100}}\n"
 
 
+def free_ports(count: int) -> list[int]:
+    """That nobody has on any address of loopback, for streams and datagrams alike, bound together so that
+    they differ."""
+    holds, found = list[socket.socket](), list[int]()
+    while len(found) < count:
+        stream = socket.create_server(("0.0.0.0", 0))
+        word = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        holds += [stream, word]
+        port = int(stream.getsockname()[1])
+        try:
+            word.bind(("0.0.0.0", port))
+        except OSError:
+            continue
+        found.append(port)
+    for hold in holds:
+        hold.close()
+    return found
+
+
 class Told(Ways):
     """What passes between the dispatchers, by number. `mute`: whose datagrams all are lost; `refused`: whose
     streams are broken off at once; `liars`: what they say of their configuration is replaced."""
@@ -82,7 +102,7 @@
 
     def __init__(self, folder: Path, register: str, count: int) -> None:
         self.folder, self.register, self.count = folder, register, count
-        ports = [int(place.rpartition(":")[2]) for place in both_ports(2)]
+        ports = free_ports(2)
         self.port, self.bound = ports
         self.ways = Told(count, *ports)
         self.running: dict[int, asyncio.subprocess.Process] = {}
