What is given goes before a site's file in braces too: it broke with an AttributeError

A file in braces (JSON) is one struct embedded in another, and the merge looked at fields only. A dispatcher with such a file could be given nothing on the command line, nor a configuration. Test seen to fail without it.

--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cherrygrade.records.grammar import RecordSyntaxError, Tree, parse
+from cherrygrade.records.grammar import Field, RecordSyntaxError, Tree, parse
 from cherrygrade.records.lattice import Vertex, unify
 from cherrygrade.site import (
     Bearings,
@@ -58,9 +58,11 @@
 
 def _without(tree: Tree, given: Tree) -> Tree:
     """The file's tree without the values that are given; of structs that both have, without their parts."""
-    parts = list(tree.parts)
-    for told in given.parts:
+    parts = _spread(tree)
+    for told in _spread(given):
         for at, field in reversed([*enumerate(parts)]):
+            if not (isinstance(told, Field) and isinstance(field, Field)):
+                continue
             if told.kind != "field" or (field.kind, field.label) != ("field", told.label):
                 continue
             if told.value.kind == field.value.kind == "struct":
@@ -70,6 +72,14 @@
     return replace(tree, parts=tuple(parts))
 
 
+def _spread(tree: Tree) -> list[Any]:
+    """Its parts, those of structs embedded in it among them: a file in braces is one struct in another."""
+    found: list[Any] = []
+    for part in tree.parts:
+        found += _spread(part) if isinstance(part, Tree) and part.kind == "struct" else [part]
+    return found
+
+
 def plain(vertex: Vertex) -> Any:
     """The record's value. Raises RecordError with all that is wrong or lacking."""
     faults = list(vertex.all_faults())
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -101,6 +101,17 @@
     assert site.bearings.budget is None and site.lines.streams == 32
 
 
+def test_what_is_given_goes_before_a_file_in_braces_too(tmp_path):
+    text = '{"place": {"name": "d", "listen": "127.0.0.1:1", "register": "127.0.0.1:2"}}'
+    (tmp_path / "s.rec").write_text(text)
+    for given_ in ('place: name: "other"', '{"place": {"name": "other"}}', '{place: {name: "other"}}'):
+        site = read_site(tmp_path / "s.rec", given_)
+        assert (site.place.name, site.place.listen) == ("other", "127.0.0.1:1")
+    (tmp_path / "s.rec").write_text("a: 1\n{b: 2}\n...\n")
+    with pytest.raises(RecordError):
+        read_site(tmp_path / "s.rec", "c: 3")
+
+
 def test_every_error_in_settings_is_told_at_once(tmp_path: Path):
     (tmp_path / "s.rec").write_text(MINIMAL)
     with pytest.raises(RecordError) as caught:
