--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -30,8 +30,9 @@
 from cherrygrade.transport.connection import Connection
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
 
-InForce = Callable[[Version, int], str]
-"""Put a version in force at this stage: "", or why it is refused and all is as it was."""
+InForce = Callable[[Version, int], str | Awaitable[str]]
+"""Put a version in force at this stage: "", or why it is refused and all is as it was. Awaited where it is to
+be: reading a text takes tens of ms, for which RPCs need not wait."""
 
 PART = 8192  # of a word in one frame
 MOST_WORD = 1024 * 1024  # a version in frames
@@ -221,7 +222,7 @@
         does = Does(force=(kept.version, kept.stage)) if kept is not None else Does()
         while does.force is not None:  # what was before it, where it is refused
             version, stage = does.force
-            does = replica.forced(stage, self._force(version, stage), self.clock())
+            does = replica.forced(stage, await self._force(version, stage), self.clock())
         self._do(does)
         self._show()
 
@@ -381,7 +382,7 @@
                 after = None
                 if does.force is not None and self.replica is not None:
                     version, stage = does.force
-                    why = why or self._force(version, stage)
+                    why = why or await self._force(version, stage)
                     after = self.replica.forced(stage, why, self.clock())
                 self._steps.popleft()
                 self._show()
@@ -414,9 +415,10 @@
             return f"can't keep it: {held.strerror or held}"
         return ""
 
-    def _force(self, version: Version, stage: int) -> str:
+    async def _force(self, version: Version, stage: int) -> str:
         try:
-            why = self._in_force(version, stage)
+            told = self._in_force(version, stage)
+            why = told if isinstance(told, str) else await told
         except Exception as broke:  # a text that breaks this program's reader is refused like any other
             why = f"reading it failed: {type(broke).__name__}: {broke}"[:500]
         if not why:
