--- a/cherrygrade/fleet/carriers/operator.py
+++ b/cherrygrade/fleet/carriers/operator.py
@@ -32,9 +32,10 @@
 
 DONE, REFUSED, WRONG, NOBODY = 0, 1, 2, 3
 COUNCIL_S = 0.7  # for each of at most two asks of the council: `put` is told within 2 s in all
-PATIENCE_S = 1.7  # of the command, for one answer
+PATIENCE_S = 1.7  # of the command, for one word
 MOST_OPERATORS = 8  # at once, at one dispatcher
-LEAVE_S = 5.0  # in which a person's stream has to end
+JUDGE_S = 30.0  # that a text may take to be judged, while a majority goes on answering
+LEAVE_S = 40.0  # in which a person's stream has to end
 
 
 class Request(msgspec.Struct, frozen=True, tag_field="do"):
@@ -107,16 +108,21 @@
         if based_on < 0:
             shown = await self._shown(f"{request.id}/newest")
             based_on = shown.lines[-1].number if shown.lines else 0
+        ask = AskPut(request.id, request.text, based_on, request.by)
+        asking = asyncio.get_running_loop().create_task(self.chamber.ask(ask, JUDGE_S))
         try:
-            found = await self.chamber.ask(
-                AskPut(request.id, request.text, based_on, request.by), COUNCIL_S
-            )
-        except Unreached as trouble:
+            while not (await asyncio.wait({asking}, timeout=COUNCIL_S))[0]:
+                await self._shown(f"{request.id}/leads")  # a long text: does it still lead?
+                self.say(b"{}")
+            found = asking.result()
+        except (Unreached, ConfigUnreached) as trouble:
             raise ConfigUnreached(
                 trouble.what,
                 "It may yet have become a version; all dispatchers serve on with what they have.",
                 "See `cherrygrade fleet config show` once more than half of the voters live, then put again.",
             ) from trouble
+        finally:
+            asking.cancel()
         assert isinstance(found, Configured)
         if found.told.waits:
             raise ConfigRefused(found.told.waits)
@@ -165,27 +171,35 @@
     def __init__(self, request: Request) -> None:
         super().__init__()
         self._request = request
-        self.answer: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+        self._words: asyncio.Queue[dict[str, Any] | str] = asyncio.Queue()
 
     def connected(self, conn: Connection) -> None:
         conn.send(Hello(VERSION, "operator", "cherrygrade fleet config"))
         self.say(msgspec.json.encode(self._request))
 
     def frame(self, conn: Connection, message: Any, body: object) -> None:
-        if isinstance(message, Bye) and not self.answer.done():
-            self.answer.set_exception(ConnectionError(message.reason))
+        if isinstance(message, Bye):
+            self._words.put_nowait(message.reason)
         elif isinstance(message, Members):
             self.part(message)
-        elif not isinstance(message, Welcome | Bye):
+        elif not isinstance(message, Welcome):
             conn.close(f"unexpected {type(message).__name__}")
 
     def word(self, data: bytes) -> None:
-        if not self.answer.done():
-            self.answer.set_result(json.loads(data))
+        self._words.put_nowait(json.loads(data))
 
     def closed(self, conn: Connection, why: str) -> None:
-        if not self.answer.done():
-            self.answer.set_exception(ConnectionError(why))
+        self._words.put_nowait(why)
+
+    async def answer(self, within_s: float) -> dict[str, Any]:
+        """Each word in that time; an empty one says that it goes on."""
+        while True:
+            async with asyncio.timeout(within_s):
+                told = await self._words.get()
+            if isinstance(told, str):
+                raise ConnectionError(told)
+            if told:
+                return told
 
 
 async def visit(place: str, request: Request, within_s: float = PATIENCE_S) -> dict[str, Any]:
@@ -195,10 +209,13 @@
         do = "Give --at a dispatcher's fleet.place."
         raise NoConfig(f"{place} is no HOST:PORT", "Nobody was asked.", do)
     try:
+        held = Visit(request)
         async with asyncio.timeout(within_s):
-            held = Visit(request)
             await asyncio.get_running_loop().create_connection(lambda: held.conn, *to)
-            told = await held.answer
+        try:
+            told = await held.answer(within_s)
+        finally:
+            held.conn.close("told")
     except OSError as wrong:  # TimeoutError among them
         why = str(wrong) or f"no answer within {within_s:g} s"
         do = "Give --at another dispatcher."
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -26,6 +26,17 @@
     return held(path, extra)
 load.read_site = read_site
 """
+# One whose reader is slow with a text.
+SLOW = """
+import time
+import cherrygrade.records.load as load
+held = load.read_site
+def read_site(path, extra=""):
+    if "20202" in extra:
+        time.sleep(1.5)
+    return held(path, extra)
+load.read_site = read_site
+"""
 
 
 def command(*parts: str) -> tuple[int, str, float]:
@@ -322,6 +333,54 @@
     play(story, tmp_path)
 
 
+def test_a_text_that_takes_long_to_judge_is_waited_for_while_a_majority_answers(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        for number in (0, 1, 2):
+            await fleet.kill(number)
+            fleet.programs[number] = SLOW
+            await fleet.start(number)
+        await fleet.until(fleet.leads, 8.0)
+        begun = time.monotonic()
+        assert await fleet.put(limit(20202), at=3) == 1
+        assert time.monotonic() - begun > 1.5
+        await fleet.all_on(1, 10.0)
+
+    play(story, tmp_path)
+
+
+def test_parts_that_move_settle_once_all_of_record_have_said_so_and_not_before(tmp_path):
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.put(limit(900)) == 1
+        await fleet.all_on(1)
+        fewer = limit(900) + "volumes: v: hosts: 4\n"
+        assert await fleet.put(fewer) == 2
+
+        async def settled() -> bool:
+            told = [await fleet.status(number) for number in fleet.running]
+            return all(one["settled"] and one["number"] == 2 for one in told)
+
+        await fleet.until(settled, WITHIN_S)
+        await fleet.kill(4)
+        assert await fleet.put(limit(900)) == 3
+        await fleet.all_on(3)
+        await asyncio.sleep(2.0)
+        assert not any([(await fleet.status(number))["settled"] for number in fleet.running])
+        with pytest.raises(ConfigRefused, match="parts still move"):
+            await fleet.put(fewer)
+        assert await fleet.put(limit(800)) == 4  # what moves none passes
+        assert "dead" in (await fleet.missing(4))["d4"] or "cut off" in (await fleet.missing(4))["d4"]
+        await fleet.start(4)
+        await fleet.all_on(4)
+
+        async def settled_at_last() -> bool:
+            told = [await fleet.status(number) for number in fleet.running]
+            return all(one["settled"] and one["number"] == 4 for one in told)
+
+        await fleet.until(settled_at_last, WITHIN_S)
+
+    play(story, tmp_path)
+
+
 def test_nobody_at_the_place_is_told_so():
     code, told, took = command("show", "--at", "127.0.0.1:9")
     assert code == 3 and "does not answer" in told and took < 3.0
