The gateway puts a configuration in force between two rounds; own file beneath its text

Gateway.in_force reads the text in a thread, builds terms, rooms and all that hangs on them, and swaps at once; a fault while building leaves all as it was. RPCs go on under the workload that they were taken with, pieces of ranges too; plans and hosts are today's. A dispatcher that does not know the fleet's version has no part. Version kept is in force before the listener is open.

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -34,7 +34,8 @@
 
 
 def origin_of(site: Site) -> Origin:
-    """This life, for the fleet."""
+    """This life, for the fleet. Settings are marked as the own file has them: what the fleet's configuration
+    lays over them is told by its number, and a change of it is news of nobody's file."""
     from importlib.metadata import PackageNotFoundError, version
 
     try:
@@ -73,6 +74,12 @@
     from cherrygrade.gateway.process import Gateway
     from cherrygrade.logs import make_log
 
+    overlay = None
+    if site.fleet is not None and site.fleet.council is not None:
+        from cherrygrade.gateway.overlay import Overlay
+
+        overlay = Overlay(file, given, site)
+
     async def main() -> int:
         make, compiled = dispatcher()
         told = make_log(log, dispatcher=site.place.name)
@@ -90,6 +97,7 @@
             site.words.places,
             site.fleet,
             origin_of(site),
+            overlay,
         )
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
--- a/cherrygrade/extents/carrier.py
+++ b/cherrygrade/extents/carrier.py
@@ -14,11 +14,11 @@
 from cherrygrade.extents.map import NOWHERE, ExtentMap, Stretch
 from cherrygrade.extents.parent import End, Parent, Piece
 from cherrygrade.held import Asker, Body, Held, Whole
-from cherrygrade.interface import Effect
+from cherrygrade.interface import Effect, Workload
 from cherrygrade.peers.ladder import Step
 from cherrygrade.peers.rooms import Rooms
 from cherrygrade.peers.store import Claim, waits
-from cherrygrade.site import Cuts, Trade
+from cherrygrade.site import Cuts, Trade, Volume
 from cherrygrade.wire.messages import Errored, MapPart, Ok, Part, ReadRpc, Rejected, WriteRpc
 
 ASK_AGAIN_MS = 250.0
@@ -82,12 +82,21 @@
 
 
 class Range:
-    """A client's RPC that goes as pieces. `helds` is emptied as they end, and by its own end."""
+    """A client's RPC that goes as pieces. `helds` is emptied as they end, and by its own end. Workload and
+    volume are those that it was taken with: settings that come into force meanwhile may know neither."""
 
     def __init__(
-        self, carrier: Carrier, session: Asker, ask: ReadRpc | WriteRpc, body: Any, until: float
+        self,
+        carrier: Carrier,
+        session: Asker,
+        ask: ReadRpc | WriteRpc,
+        body: Any,
+        until: float,
+        workload: Workload,
+        volume: Volume,
     ) -> None:
         self.carrier, self.session, self.ask, self.until = carrier, session, ask, until
+        self.workload, self.volume = workload, volume
         self.writes = isinstance(ask, WriteRpc)
         self.length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
         self.streams = not self.writes and PARTS in session.features
@@ -124,6 +133,10 @@
         self.parent = Parent(stretches, self.length, self.writes, cuts.pieces, cuts.pieces_a_shard)
         self.feed()
 
+    @property
+    def pieces(self) -> list[Held]:
+        return [*self.helds.values()]
+
     def feed(self) -> None:
         """Take more pieces while the client takes what comes: what is out and what waits count alike."""
         session = self.session
@@ -231,23 +244,23 @@
         """A client's RPC on a range; None where it was answered at once."""
         house, volume = self.house, ask.volume
         length = ask.length if isinstance(ask, ReadRpc) else len(body or b"")
-        workload = house.trade.workloads.get(ask.workload)
-        if workload is None or volume not in house.trade.volumes:
+        workload, dealt = house.trade.workloads.get(ask.workload), house.trade.volumes.get(volume)
+        if workload is None or dealt is None:
             return house.take_plain(session, ask, body)  # the module rejects what it does not know
         if isinstance(ask, WriteRpc) and ask.append:
             session.conn.send(Errored(ask.id, "a range has no end to append to"))
             return None
         if not self.map.known(volume):
-            range_ = Range(self, session, ask, body, house.until(session, ask))
+            range_ = Range(self, session, ask, body, house.until(session, ask), workload, dealt)
             range_.enter()
             return range_
-        told = self._judge(ask, length)
+        told = self._judge(ask, length, workload)
         if told is not None:
             session.conn.send(told)
             return None
         first = next(self.map.stretches(volume, ask.offset, length, self.cuts.most_piece))
         if first.length < length:
-            range_ = Range(self, session, ask, body, house.until(session, ask))
+            range_ = Range(self, session, ask, body, house.until(session, ask), workload, dealt)
             self.split += 1
             range_.enter()
             return range_
@@ -291,7 +304,11 @@
         body = None
         if range_.writes and range_.whole is not None:
             body = range_.whole[stretch.at : stretch.at + stretch.length]
-        held = self._held(range_.session, ask, body, stretch, piece.shard, piece.version, range_.until)
+        held = self._held(
+            range_.session, ask, body, stretch, piece.shard, piece.version, range_.until, range_.workload
+        )
+        if held.plan is None:
+            held.plan, held.hosts = range_.volume.plan, range_.volume.hosts
         held.id = f"{held.id}/{stretch.at}.{piece.turn}"
         held.range, held.piece = range_, piece
         if not range_.writes and range_.whole is not None:
@@ -307,13 +324,15 @@
         shard: int,
         version: int,
         until: float,
+        workload: Workload | None = None,
     ) -> Held:
-        """The module's RPC on one stretch; it waits for the map's word where its place is not known."""
+        """The module's RPC on one stretch; it waits for the map's word where its place is not known.
+        `workload`: of an RPC that was taken before."""
         held = self.house.make(
             session, ask, body, f"e{stretch.extent}", shard, stretch.start, stretch.length, until
         )
         held.extent, held.version = stretch.extent, max(0, version)
-        work = held.workload
+        work = held.workload = workload or held.workload
         assert work is not None
         held.joins = self.cuts.merge and work.effect is Effect.IDEMPOTENT and not work.in_order
         if held.shard == NOWHERE and stretch.extent >= 0:
@@ -373,14 +392,14 @@
         if found:
             self.house.look_again()
 
-    def _judge(self, ask: ReadRpc | WriteRpc, length: int) -> Ok | Errored | None:
+    def _judge(self, ask: ReadRpc | WriteRpc, length: int, workload: Workload) -> Ok | Errored | None:
         """What the map alone tells of a range: its final answer, or None where it goes on."""
         size = self.map.size(ask.volume)
         if ask.offset + length > size:
             return Errored(ask.id, f"beyond the volume's end at {size}")
         if not length:
             return Ok(ask.id, -1)
-        if self.house.trade.workloads[ask.workload].in_order:
+        if workload.in_order:
             stretches = list(self.map.stretches(ask.volume, ask.offset, length, length))
             if stretches[0].extent != stretches[-1].extent:
                 return Errored(ask.id, "a range that keeps an order must lie within one extent")
@@ -394,7 +413,7 @@
             self._ask(ask.volume, 0, 2**31)
             range_.feed()
             return
-        told = self._judge(ask, range_.length)
+        told = self._judge(ask, range_.length, range_.workload)
         if told is None:
             range_.plan()
         else:
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -25,12 +25,15 @@
 from cherrygrade.peers.store import Claim, waits
 from cherrygrade.peers.watch import Watch
 from cherrygrade.policy import Dispatcher, presses
-from cherrygrade.site import Bearings, Bounds, Cuts, Fleet, Lines, Origin, Pace, Place, Trade
+from cherrygrade.site import Bearings, Bounds, Cuts, Fleet, Lines, Origin, Pace, Place, Site, Trade
 from cherrygrade.transport.listening import listen
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 if TYPE_CHECKING:
+    from cherrygrade.fleet.carriers.company import Fellows
     from cherrygrade.fleet.carriers.party import Party
+    from cherrygrade.fleet.config.versions import Version
+    from cherrygrade.gateway.overlay import Overlay
 
 TELL_S = 60.0
 LINGER_MS = 1000.0  # that clients get for closing by themselves when this process leaves
@@ -54,7 +57,10 @@
         places: Sequence[str] = (),
         fleet: Fleet | None = None,
         origin: Origin | None = None,
+        overlay: Overlay | None = None,
     ) -> None:
+        """`overlay`: the own file, for what is laid over it by the fleet's configuration; None: there is
+        none."""
         self.place, self.trade, self.bounds, self.lines_, self.log = place, trade, bounds, lines, log
         self.name, self.most_body, self.most_open = place.name, bounds.most_body, bounds.most_open
         self.hello_ms, self.come_back_ms = bounds.hello_ms, bearings.permits.come_back_ms
@@ -67,7 +73,12 @@
         self.wheel: Wheel[Out] = Wheel()
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self.party: Party | None = None
-        company = None
+        self.overlay = overlay
+        self.company: Fellows | None = None
+        self._unsure = False  # what the fleet's configuration is: then this one has no part
+        self._in_force: tuple[Site, Version | None, int] | None = None
+        if overlay is not None:
+            self._in_force = (overlay.own, None, 0)
         if fleet is not None:
             from cherrygrade.fleet.carriers.company import (
                 Fellows,  # where no fleet is named, none of it is loaded
@@ -85,8 +96,10 @@
                 lambda: loop.time() * 1000.0,
                 lambda peer, word: self.rounds.hear(peer, word),
                 log,
+                self.in_force if overlay is not None else None,
+                overlay.judge if overlay is not None else None,
             )
-            company = Fellows(self.party.core, seat)
+            self.company = Fellows(self.party.core, seat)
         dispatcher = make(
             seed=place.seed,
             number=place.number,
@@ -97,7 +110,7 @@
             budget=bearings.budget,
             permits=bearings.permits,
             key_rest_ms=bearings.key_rest_ms,
-            **({"company": company} if company is not None else {}),
+            **({"company": self.company} if self.company is not None else {}),
         )
         pace = pace or Pace()
         pressed = partial(presses, top=dispatcher.top, tight=dispatcher.tight)
@@ -137,11 +150,14 @@
     async def start(self) -> int:
         """Listen, follow the register; gives the port."""
         host = self.place.listen.rpartition(":")[0]
-        self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
         if self.words is not None:
             await self.words.start()
-        if self.party is not None:
+        if self.party is not None:  # a version that was kept is in force before anybody is served
             await self.party.start()
+            if self.party.config is not None and self.company is not None:
+                self._unsure = not self._sure()
+                self.company.has = self.company.has and not self._unsure
+        self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
         self.follower.start()
         if self.watch.pace.watch:
             self.watch.start()
@@ -376,6 +392,74 @@
         self.rounds.inbox.heard += [*self.nodes.by_address.values()][:1]
         self.rounds.stir()
 
+    # The fleet's configuration.
+
+    async def in_force(self, version: Version, stage: int) -> str:
+        """The version at this stage: all that hangs on it goes over between two rounds, at once. Gives why it
+        is refused, and then all is as it was. Its text is read in a thread of its own."""
+        from cherrygrade.fleet.config.live import changes
+        from cherrygrade.gateway.overlay import needs, told
+        from cherrygrade.records.load import RecordError
+
+        assert self.overlay is not None and self._in_force is not None
+        loop = asyncio.get_running_loop()
+        try:
+            site = await loop.run_in_executor(None, self.overlay.site, version.text)
+        except RecordError as wrong:
+            return told(wrong)
+        restart = changes(self._in_force[0], site).restart
+        if restart:
+            return needs(restart)
+        if self.done.done():
+            return "the dispatcher ends"
+        try:
+            self._go_over(site, version, stage)
+        except ValueError as wrong:
+            return str(wrong)
+        return ""
+
+    def _sure(self) -> bool:
+        """Whether it is known here what the fleet's configuration is."""
+        config = self.party.config if self.party is not None else None
+        return config is None or (config.replica is not None and config.replica.sure)
+
+    def _go_over(self, site: Site, version: Version | None, stage: int) -> None:
+        """Between two rounds. All is built first; behind that nothing fails."""
+        from cherrygrade.fleet.config.live import divisors
+        from cherrygrade.fleet.config.parts import parts
+        from cherrygrade.gateway.inforce import put, terms
+
+        assert self.party is not None and self.company is not None
+        sure = self._sure()
+        old = version.old if version is not None and stage % 2 == 0 else None
+        into = terms(site, parts(self.place.number, divisors(site), old, sure), old)
+        pressed = partial(presses, top=into.top, tight=into.tight)
+        held = self._held()
+        self.rooms.put(
+            into.trade,
+            into.bearings.earnings,
+            pressed,
+            {one.workload.name for one in held if one.workload is not None},
+            {one.volume for one in held},
+        )
+        put(self.rounds.module, self.company, into, self.rounds.clock())
+        for one in held:  # its volume's plan is today's; its workload is that which it was taken with
+            dealt = into.trade.volumes.get(one.volume)
+            if dealt is not None and one.plan is not None:
+                one.plan, one.hosts = dealt.plan, dealt.hosts
+        self._in_force, self._unsure = (site, version, stage), not sure
+        self.trade, self.bounds = into.trade, site.bounds
+        self.come_back_ms = self.watch.come_back_ms = into.bearings.permits.come_back_ms
+        self.party.core.record = max(into.counts)
+        self.rounds.stir()
+
+    def _held(self) -> list[Held]:
+        """All RPCs for the module that are not over, pieces of others among them."""
+        found: list[Held] = []
+        for one in self.held:
+            found += [one] if isinstance(one, Held) else one.pieces
+        return found
+
     # What the register's follower calls.
 
     def _heard(self, nodes: list[Node], answered: bool | None) -> None:
@@ -391,6 +475,8 @@
     # What rounds carry out.
 
     def before_round(self, now: float) -> None:
+        if self._unsure and self._in_force is not None and self._sure():
+            self._go_over(*self._in_force)
         if self.party is not None:
             for send in self.rounds.inbox.answers:
                 self.party.met(send)
--- a/cherrygrade/held.py
+++ b/cherrygrade/held.py
@@ -35,6 +35,10 @@
     def streams(self) -> bool:
         """Its client takes bytes as they come."""
 
+    @property
+    def pieces(self) -> list[Held]:
+        """Those that are taken and not over."""
+
     def feed(self) -> None:
         """There may be room for more pieces."""
 
--- a/cherrygrade/peers/rooms.py
+++ b/cherrygrade/peers/rooms.py
@@ -42,18 +42,36 @@
         # The largest body finds room at any time, alone if need be.
         room, batch = max(pace.room, most_body), max(pace.batch_room, most_body)
         self.store = Store(room, batch, pace.most_peer, pace.most_slow, earnings.in_share, earnings.beyond)
-        self.bounded = pace.watch
-        self._works = {
-            name: (presses(work), work.value, work.soft_ms * pace.wait_part)
-            for name, work in trade.workloads.items()
-        }
-        self._shares = {
-            name: (Share(volume.plan.weight), volume.plan.price) for name, volume in trade.volumes.items()
-        }
+        self.bounded, self._wait_part = pace.watch, pace.wait_part
+        self._works: dict[str, tuple[bool, float, float]] = {}
+        self._shares: dict[str, tuple[Share, float]] = {}
+        self.put(trade, earnings, presses, set(), set())
         self._timers: dict[Claim, asyncio.TimerHandle] = {}
         self.waited = self.cramped = 0  # since they were last told
         self._log = log
 
+    def put(
+        self,
+        trade: Trade,
+        earnings: Earnings,
+        presses: Callable[[Workload], bool],
+        workloads: set[str],
+        volumes: set[str],
+    ) -> None:
+        """Go by these settings from now on. What is in, and what waits, stays where it is; `workloads` and
+        `volumes` are of RPCs that are held, and stay known where these settings name them no more."""
+        works = {name: work for name, work in self._works.items() if name in workloads}
+        for name, work in trade.workloads.items():
+            works[name] = (presses(work), work.value, work.soft_ms * self._wait_part)
+        shares = {name: share for name, share in self._shares.items() if name in volumes}
+        for name, volume in trade.volumes.items():
+            share = self._shares[name][0] if name in self._shares else Share(volume.plan.weight)
+            shares[name] = (share, volume.plan.price)
+        for name, volume in trade.volumes.items():
+            self.store.reweigh(shares[name][0], volume.plan.weight)
+        self.store.in_share, self.store.beyond = earnings.in_share, earnings.beyond
+        self._works, self._shares = works, shares
+
     def ask(
         self, account: Account, workload: str, volume: str, length: int, owner: Owner, left_ms: float
     ) -> Claim | None:
--- a/cherrygrade/peers/store.py
+++ b/cherrygrade/peers/store.py
@@ -147,6 +147,12 @@
         self.waits -= 1
         self._sweep()
 
+    def reweigh(self, share: Share, weight: float) -> None:
+        """A volume's weight changes; what is in and what waits keeps the place that it has."""
+        if share.used:
+            self._weights += max(weight, 1e-6) - share.weight
+        share.weight = max(weight, 1e-6)
+
     def plenty(self, length: int) -> bool:
         """So much more leaves half of the room free."""
         return not self.waits and self.used + length <= self.room // 2
--- a/cherrygrade/peers/watch.py
+++ b/cherrygrade/peers/watch.py
@@ -79,7 +79,7 @@
     ) -> None:
         """`late` is told how late each look was, and when: it is the clockwork that always runs."""
         self.pace, self.rooms, self._sessions, self._lines = pace, rooms, sessions, lines
-        self._come_back_ms, self._log, self._late = come_back_ms, log, late
+        self.come_back_ms, self._log, self._late = come_back_ms, log, late
         self.memory = Memory(pace.remember_ms)
         self._records: dict[Line, Watched] = {}  # made anew each cycle from what is still there
         self._left: list[Line] = []  # of this cycle, not looked at yet
@@ -193,7 +193,7 @@
                 self._cut_at = now
                 self.memory.cut(_who(client), now)
                 conn.close(
-                    f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least", self._come_back_ms
+                    f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least", self.come_back_ms
                 )
         elif step is Step.CUT:
             conn.abort(f"too slow: {per_s:.0f} bytes a second, {least:.0f} are the least")
--- a/cherrygrade/records/load.py
+++ b/cherrygrade/records/load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from importlib import resources
 from pathlib import Path
@@ -45,15 +45,20 @@
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as trouble:
         raise RecordError([f"{path}: {trouble}"]) from trouble
+    return laid([(str(path), text), *([("given", extra)] if extra else [])], schema)
+
+
+def laid(texts: Sequence[tuple[str, str]], schema: str) -> Vertex:
+    """Texts, each with the name that its faults are told under, and their schema as one. Each goes before
+    what those before it say under the same names. Raises RecordError."""
     try:
         ours = parse(resources.files("cherrygrade.records").joinpath(schema).read_text(), schema)
-        trees = [ours, parse(text, str(path))]
-        if extra:
-            given = parse(extra, "given")
-            trees = [ours, _without(trees[1], given), given]
+        trees = [parse(text, name) for name, text in texts]
     except RecordSyntaxError as trouble:
         raise RecordError([str(trouble)]) from trouble
-    return unify(trees, closed=True)
+    for at, over in enumerate(trees):
+        trees[:at] = [_without(tree, over) for tree in trees[:at]]
+    return unify([ours, *trees], closed=True)
 
 
 def _without(tree: Tree, given: Tree) -> Tree:
@@ -80,6 +85,24 @@
     return found
 
 
+def names(text: str) -> set[str]:
+    """Keys that a text gives by name, structs and what is in them. Raises RecordError."""
+    try:
+        return _names(parse(text, "text"), "")
+    except RecordSyntaxError as trouble:
+        raise RecordError([str(trouble)]) from trouble
+
+
+def _names(tree: Tree, above: str) -> set[str]:
+    found = set()
+    for part in _spread(tree):
+        if isinstance(part, Field) and part.kind == "field":
+            found.add(f"{above}{part.label}")
+            if part.value.kind == "struct":
+                found |= _names(part.value, f"{above}{part.label}.")
+    return found
+
+
 def plain(vertex: Vertex) -> Any:
     """The record's value. Raises RecordError with all that is wrong or lacking."""
     faults = list(vertex.all_faults())
@@ -153,7 +176,11 @@
 
 def read_site(path: Path, extra: str = "") -> Site:
     """A dispatcher's settings. Raises RecordError with every error at once."""
-    vertex = read_vertex(path, "site.rec", extra)
+    return site_of(read_vertex(path, "site.rec", extra))
+
+
+def site_of(vertex: Vertex) -> Site:
+    """Settings from texts that were laid over each other. Raises RecordError with every error at once."""
 
     def where(key: str) -> str:
         found = vertex
