--- a/cherrygrade/platform/nodes.py
+++ b/cherrygrade/platform/nodes.py
@@ -27,8 +27,8 @@
 # Between an answer and the next attempt on its connection. Answers carry no id: a second one that comes late,
 # or the close behind the first, finds the connection free and ends it, and is not taken for the next one's.
 REST_MS = 10.0
-# A connection that is not up after the time for connects is raced by another (RFC 8305, 5) and awaited on: a
-# lost SYN goes again after a second (RFC 6298), so it may be up shortly after that.
+# A connection that is not up after half of the time for connects is raced by another (RFC 8305, 5) and still
+# awaited: a lost SYN goes again after a second (RFC 6298), so it may be up shortly after that.
 AWAITED_MS = 2000.0
 
 
@@ -39,7 +39,7 @@
         self.pool = pool
         self.out: Out | None = None
         self.ready = self.late = self.ended = False
-        """`late`: not up in the time for connects; raced by another since, and not counted as being made."""
+        """`late`: raced by another since it was not up in time, and not counted as being made."""
         self.begun_ms = pool.rounds.clock()
         self.quiet_from = 0.0
         self.whole = False  # the last byte of the send is with the system
@@ -261,7 +261,7 @@
 
     async def _connect(self, connection: NodeConnection) -> None:
         loop = asyncio.get_running_loop()
-        patience = loop.call_later(self.connect_ms / 1000.0, self._raced, connection)
+        patience = loop.call_later(self.connect_ms / 2000.0, self._raced, connection)
         try:
             host, port = self._dial(self.node)
             async with asyncio.timeout((self.connect_ms + AWAITED_MS) / 1000.0):
@@ -287,8 +287,8 @@
             patience.cancel()
 
     def _raced(self, connection: NodeConnection) -> None:
-        """It is not up in the time for connects. One alone, or beside signs of life, is its own trouble:
-        another is made beside it. Two without any are the node's: an attempt that waits could not connect."""
+        """It is not up in half of the time for connects. One alone, or beside signs of life, is its own
+        trouble: another is made beside it. Two without any are the node's: what waits could not connect."""
         if connection.ready or connection.ended:
             return
         connection.late = True
