--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,7 +18,7 @@
 
 
 WORKERS = [[], ["-n", "2"]]
-PLUGINS = ["-p", "known_red", "-p", "no:cacheprovider"]
+PLUGINS = ["-p", "xdist.plugin", "-p", "known_red", "-p", "no:cacheprovider"]
 
 
 def lay(folder: Path, tests: str, listed: str | None, line: list[str]) -> subprocess.CompletedProcess[str]:
@@ -34,6 +34,7 @@
             "PYTHONPATH": str(HERE),
             "PYTHON": sys.executable,
             "PYTEST_XDIST_AUTO_NUM_WORKERS": "2",
+            "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1",  # none but these: a start is most of what a call costs
         },
         capture_output=True,
         text=True,
