--- /dev/null
+++ b/cherrygrade/lab/capacity/page.py
@@ -0,0 +1,276 @@
+"""The tables of docs/CAPACITY.md, from reports and targets; the sentences around them stay as written."""
+
+from __future__ import annotations
+
+import re
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from jinja2 import Environment, StrictUndefined
+
+from cherrygrade.errors import Trouble
+from cherrygrade.lab.capacity.errors import PageWrong
+from cherrygrade.lab.capacity.reports import Figure, Report, Row, Target, read_reports, read_target
+from cherrygrade.lab.capacity.slopes import ENOUGH, Point, Seen, Slope, at, fit, pooled, reaches
+
+WITHIN, OVER, NOTHING, NOT_RUN, NO_BUDGET = "within", "**over**", "**nothing carries it**", "not run", "-"
+MARKED = re.compile(r"(<!-- drawn: ([a-z ]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+@dataclass(slots=True)
+class Line:
+    """One row with what the runs gave: figures of one series of reports, along one size."""
+
+    row: Row
+    slope: Slope | None = None
+    points: list[Point] = field(default_factory=list)
+    group: tuple[tuple[str, float], ...] = ()
+    reports: list[str] = field(default_factory=list)
+
+    def target(self, times: float = 1.0) -> Seen | None:
+        size = self.row.at * times
+        if self.slope is not None:
+            return at(self.slope, size)
+        same = [point for point in self.points if point.size == size]
+        return Seen(same[0].mean, 1.0) if same else None
+
+    def verdict(self, seen: Seen | None) -> str:
+        if self.row.carried:
+            return NOTHING
+        if seen is None:
+            return NOT_RUN
+        if self.row.budget is None:
+            return NO_BUDGET
+        return WITHIN if seen.figure <= self.row.budget else OVER
+
+
+def drawn_from(row: Row, reports: list[Report], when: str = "", worst: bool = False) -> Line:
+    """The series that this row is drawn from: of all that keep `group` the same, the one with most sizes,
+    then that of the largest others."""
+    series: dict[tuple[tuple[str, float], ...], tuple[list[Point], list[str]]] = {}
+    for report in reports:
+        if not report.counts:
+            continue
+        for figure in report.figures:
+            if not _of(row, figure, when or row.when) or (worst and figure.worst_second is None):
+                continue
+            sizes = {**report.size, **figure.size}
+            if row.over not in sizes:
+                continue
+            key = tuple((name, sizes[name]) for name in row.group if name in sizes)
+            points, names = series.setdefault(key, ([], []))
+            points.append(_point(figure, sizes[row.over], worst))
+            if report.name not in names:
+                names.append(report.name)
+    if not series:
+        return Line(row)
+    best = max(series, key=lambda key: (len({p.size for p in series[key][0]}), [value for _, value in key]))
+    points, names = series[best]
+    found = pooled(points)
+    return Line(row, fit(found) if len(found) > 1 else None, found, best, names)
+
+
+def _of(row: Row, figure: Figure, when: str) -> bool:
+    return (figure.role, figure.what, figure.unit, figure.when) == (row.role, row.what, row.unit, when)
+
+
+def _point(figure: Figure, size: float, worst: bool) -> Point:
+    if worst and figure.worst_second is not None:
+        return Point(size, figure.worst_second, figure.worst_second, figure.worst_second)
+    low, high = figure.spread or (figure.mean, figure.mean)
+    return Point(size, figure.mean, min(low, figure.mean), max(high, figure.mean))
+
+
+def number(value: float | None) -> str:
+    """Three figures, with commas; whole where it is large."""
+    if value is None:
+        return "-"
+    if value == 0.0:
+        return "0"
+    if abs(value) >= 100.0:
+        return f"{value:,.0f}"
+    digits = 2 if abs(value) < 1.0 else 1
+    if abs(value) < 0.01:
+        return f"{value:.2g}"
+    return f"{value:.{digits}f}".rstrip("0").rstrip(".")
+
+
+def told(seen: Seen | None) -> str:
+    """A figure; where it lies beyond what was run, by how much."""
+    if seen is None:
+        return NOT_RUN
+    return number(seen.figure) + (f" (x{seen.beyond:.2g} beyond)" if seen.extrapolated else "")
+
+
+def sloped(line: Line) -> str:
+    slope = line.slope
+    if slope is None:
+        return NOT_RUN if not line.points else f"one size: {number(line.points[0].mean)}"
+    few = "" if len(slope.points) >= ENOUGH else f", **{len(slope.points)} sizes only**"
+    bend = f"; **bends**: {number(slope.first)}, then {number(slope.last)}" if slope.bends else ""
+    off = f"off the line {number(slope.residual)}"
+    return f"{number(slope.base)} + {number(slope.per)} each ({off}{few}){bend}"
+
+
+def spans(line: Line) -> str:
+    """Sizes run, and the spread at the largest."""
+    if not line.points:
+        return "-"
+    sizes = ", ".join(number(point.size) for point in line.points)
+    last = line.points[-1]
+    held = ", ".join(f"{name} {number(value)}" for name, value in line.group)
+    spread = f"; {number(last.low)} to {number(last.high)} at {number(last.size)}"
+    return sizes + (f" ({held})" if held else "") + (spread if last.high > last.low else "")
+
+
+TEMPLATES = {
+    "goals": """\
+| theirs | ours | shown by |
+| --- | --- | --- |
+{% for goal in target.goals -%}
+| {{ goal.theirs }} | {{ goal.ours }} | {{ goal.by }} |
+{% endfor %}""",
+    "runs": """\
+| report | command | commit | size | counts | its own machinery late |
+| --- | --- | --- | --- | --- | --- |
+{% for one in reports -%}
+| `{{ one.name }}` | `{{ one.command }}` | {{ one.commit[:9] }} | {{ pairs(one.size) }} | \
+{{ "yes" if one.counts else "**no**: " ~ one.measured }} | {{ pairs(one.lateness) or "-" }} |
+{% endfor %}""",
+    "roles": """\
+{% for role in target.roles %}{% if lines[role] -%}
+**{{ role }}**
+
+| what | over | slope as measured | sizes | at target | budget | verdict | mechanism | run |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- |
+{% for line in lines[role] -%}
+| {{ line.row.what }}, {{ line.row.unit }}{{ " (" ~ line.row.note ~ ")" if line.row.note }} \
+| {{ line.row.over }} | {{ sloped(line) }} | {{ spans(line) }} \
+| {{ told(line.target()) }} at {{ number(line.row.at) }} \
+| {{ number(line.row.budget) ~ " (" ~ line.row.budget_by ~ ")" if line.row.budget is not none else "none" }} \
+| {{ line.verdict(line.target()) }}{{ ": " ~ line.row.carried if line.row.carried }} \
+| `{{ line.row.mechanism }}` | {{ line.reports | map("replace", ".json", "") | join(", ") or "-" }} |
+{% endfor %}
+{% endif %}{% endfor %}""",
+    "faults": """\
+| role | what, worst second | budget |{% for when in target.faults %} {{ when }} |{% endfor %}
+| --- | --- | --- |{% for when in target.faults %} --- |{% endfor %}
+{% for row, cells in faults -%}
+| {{ row.role }} | {{ row.what }}, {{ row.unit }} | {{ number(row.budget) }} |\
+{% for cell in cells %} {{ cell }} |{% endfor %}
+{% endfor %}""",
+    "promises": """\
+| report | promise | bound | seen | held |
+| --- | --- | --- | --- | --- |
+{% for name, one in promises -%}
+| `{{ name }}` | {{ one.what }} | {{ one.bound }} | {{ one.seen }} \
+| {{ "yes" if one.held else "not run" if one.held is none else "**no**" }} |
+{% endfor %}""",
+    "first": """\
+| role | what | when | passes its budget at | target | run |
+| --- | --- | --- | --- | --- | --- |
+{% for one in first -%}
+| {{ one.role }} | {{ one.what }} | {{ one.when }} | {{ one.reach }} {{ one.over }} | {{ one.at }} \
+| {{ one.reports }} |
+{% endfor %}""",
+    "twice": """\
+| role | what | at target | at twice the target | budget | verdict |
+| --- | --- | --- | --- | --- | --- |
+{% for line in budgeted -%}
+| {{ line.row.role }} | {{ line.row.what }}, {{ line.row.unit }}, over {{ line.row.over }} \
+| {{ told(line.target()) }} | {{ told(line.target(2.0)) }} | {{ number(line.row.budget) }} \
+| {{ line.verdict(line.target(2.0)) }} |
+{% endfor %}""",
+}
+
+
+def tables(target: Target, reports: list[Report]) -> dict[str, str]:
+    """Each drawn table by its name."""
+    lines = {
+        role: [drawn_from(row, reports) for row in target.rows if row.role == role] for role in target.roles
+    }
+    faults = []
+    first: list[tuple[float, dict[str, str]]] = []
+    for row in target.rows:
+        cells = []
+        for when in target.faults if row.faults else []:
+            line = drawn_from(row, reports, when, worst=True)
+            seen = line.target()
+            cells.append(f"{told(seen)} {line.verdict(seen)}" if seen is not None else NOT_RUN)
+            _reach(line, when, first)
+        if cells:
+            faults.append((row, cells))
+        _reach(drawn_from(row, reports), "rest", first)
+    values = {
+        "target": target,
+        "reports": reports,
+        "lines": lines,
+        "faults": faults,
+        "promises": [(one.name, promise) for one in reports if one.counts for promise in one.promises],
+        "first": [one for _, one in sorted(first, key=lambda pair: pair[0])],
+        "budgeted": [
+            line for some in lines.values() for line in some if line.row.budget is not None and line.points
+        ],
+        "number": number,
+        "told": told,
+        "sloped": sloped,
+        "spans": spans,
+        "pairs": lambda pairs: ", ".join(
+            f"{name} {number(value) if isinstance(value, int | float) else value}"
+            for name, value in pairs.items()
+        ),
+    }
+    made = Environment(undefined=StrictUndefined, keep_trailing_newline=True, autoescape=False)
+    found = {name: made.from_string(text).render(values) for name, text in TEMPLATES.items()}
+    return {name: text.rstrip("\n") + "\n" for name, text in found.items()}
+
+
+def _reach(line: Line, when: str, first: list[tuple[float, dict[str, str]]]) -> None:
+    """Where the line passes its budget, if it does so below four times the target."""
+    if line.slope is None or line.row.budget is None:
+        return
+    size = reaches(line.slope, line.row.budget)
+    if size > 4.0 * line.row.at:
+        return
+    beyond = size / line.slope.points[-1].size
+    first.append(
+        (
+            size / line.row.at,
+            {
+                "role": line.row.role,
+                "what": f"{line.row.what}, {line.row.unit}",
+                "when": when,
+                "reach": number(size) + (f" (x{beyond:.2g} beyond)" if beyond > 1.0 else ""),
+                "over": line.row.over,
+                "at": number(line.row.at),
+                "reports": ", ".join(name.removesuffix(".json") for name in line.reports),
+            },
+        )
+    )
+
+
+def redraw(page: str, drawn: dict[str, str]) -> str:
+    """The page with its tables drawn anew; PageWrong where a table has no place, two, or an unknown name."""
+    names = [match[2] for match in MARKED.finditer(page)]
+    if sorted(names) != sorted(drawn):
+        raise PageWrong(f"the page has places for {sorted(names)}, the tables are {sorted(drawn)}")
+    return MARKED.sub(lambda match: match[1] + drawn[match[2]] + match[3], page)
+
+
+def main(root: Path) -> int:
+    """Redraw docs/CAPACITY.md; with --check only say whether it is as the reports have it."""
+    folder, file = root / "docs" / "capacity", root / "docs" / "CAPACITY.md"
+    try:
+        target = read_target(folder)
+        page = file.read_text()
+        new = redraw(page, tables(target, read_reports(folder, target)))
+    except Trouble as trouble:
+        print(trouble, file=sys.stderr)
+        return 2
+    if "--check" in sys.argv[1:]:
+        print("as the reports have it" if new == page else "the page and its reports differ: script/capacity")
+        return int(new != page)
+    file.write_text(new)
+    print(f"{file.relative_to(root)}: {'as it was' if new == page else 'redrawn'}")
+    return 0
--- /dev/null
+++ b/cherrygrade/lab/capacity/reports.py
@@ -0,0 +1,143 @@
+"""Reports of runs, and the record of targets that they are held against: read and checked whole."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cherrygrade.lab.capacity.errors import ReportWrong, TargetWrong
+
+TARGET = "target.json"
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One role's figure in one phase. `size`: where it differs from its report's, the keys that do.
+    `spread`: least and most, over repeats or over members."""
+
+    role: str
+    what: str
+    unit: str
+    when: str
+    mean: float
+    worst_second: float | None = None
+    spread: tuple[float, float] | None = None
+    size: dict[str, float] = {}
+
+
+class Promise(msgspec.Struct, frozen=True):
+    what: str
+    bound: Any
+    seen: Any
+    held: bool | None
+
+
+class Report(msgspec.Struct, frozen=True):
+    """`measured`: true, or why nothing of it counts."""
+
+    command: str
+    commit: str
+    seed: int | str
+    size: dict[str, float]
+    machine: dict[str, Any]
+    measured: bool | str
+    lateness: dict[str, Any]
+    figures: list[Figure]
+    promises: list[Promise] = []
+    name: str = ""
+
+    @property
+    def counts(self) -> bool:
+        return self.measured is True
+
+
+class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One quantity of one role as the page has it.
+
+    `over`: the size that it grows with; `at`: that size at target. `group`: other sizes that have to be the
+    same along a line. `budget` null: the target sets none. `carried`: why nothing carries it, else "".
+    `faults`: whether the worst second of each fault is shown.
+    """
+
+    role: str
+    what: str
+    unit: str
+    over: str
+    at: float
+    mechanism: str
+    budget: float | None = None
+    budget_by: str = ""
+    group: list[str] = []
+    when: str = "rest"
+    carried: str = ""
+    faults: bool = False
+    note: str = ""
+
+
+class Goal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A line of the target: theirs, ours, what of it is shown by which row or promise."""
+
+    theirs: str
+    ours: str
+    by: str
+
+
+class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    roles: list[str]
+    quantities: list[str]
+    faults: list[str]
+    goals: list[Goal]
+    rows: list[Row]
+
+
+def read_target(folder: Path) -> Target:
+    """TargetWrong where it cannot be read, or a row names what is not listed."""
+    file = folder / TARGET
+    try:
+        target = msgspec.json.decode(file.read_bytes(), type=Target)
+    except OSError as trouble:
+        raise TargetWrong(f"{file.name}: {trouble.strerror}") from None
+    except msgspec.MsgspecError as trouble:
+        raise TargetWrong(f"{file.name}: {trouble}") from None
+    for number, row in enumerate(target.rows):
+        place = f"{file.name}: rows[{number}]"
+        if row.role not in target.roles:
+            raise TargetWrong(f"{place}: role '{row.role}' is not one of {', '.join(target.roles)}")
+        if row.what not in target.quantities:
+            raise TargetWrong(f"{place}: '{row.what}' is not one of {', '.join(target.quantities)}")
+        if (row.budget is None) != (not row.budget_by):
+            raise TargetWrong(f"{place}: a budget and who set it go together")
+        if not row.mechanism:
+            raise TargetWrong(f"{place}: the mechanism's file is lacking")
+    return target
+
+
+def read_report(name: str, data: bytes, target: Target) -> Report:
+    """ReportWrong where it cannot be read, or a figure has no command, commit, known role or quantity."""
+    try:
+        report = msgspec.json.decode(data, type=Report)
+    except msgspec.MsgspecError as trouble:
+        raise ReportWrong(f"{name}: {trouble}") from None
+    if not report.command.strip():
+        raise ReportWrong(f"{name}: no command: nobody can say which run gave its figures")
+    if not report.commit.strip():
+        raise ReportWrong(f"{name}: no commit: nobody can say which code gave its figures")
+    if report.measured is False:
+        raise ReportWrong(f"{name}: `measured` is false and does not say why")
+    for number, figure in enumerate(report.figures):
+        place = f"{name}: figures[{number}]"
+        if figure.role not in target.roles:
+            raise ReportWrong(f"{place}: role '{figure.role}' is not one of {', '.join(target.roles)}")
+        if figure.what not in target.quantities:
+            raise ReportWrong(f"{place}: '{figure.what}' is not one of {', '.join(target.quantities)}")
+        if figure.spread is not None and figure.spread[0] > figure.spread[1]:
+            raise ReportWrong(f"{place}: spread {figure.spread} is the wrong way round")
+    return msgspec.structs.replace(report, name=name)
+
+
+def read_reports(folder: Path, target: Target) -> list[Report]:
+    """All reports of the folder, by name."""
+    files: Iterable[Path] = sorted(file for file in folder.glob("*.json") if file.name != TARGET)
+    return [read_report(file.name, file.read_bytes(), target) for file in files]
