--- a/cherrygrade/lab/capacity/__main__.py
+++ b/cherrygrade/lab/capacity/__main__.py
@@ -8,4 +8,4 @@
 from cherrygrade.lab.capacity.page import main
 
 if __name__ == "__main__":
-    sys.exit(main(Path.cwd()))
+    sys.exit(main(Path.cwd(), "--check" in sys.argv[1:]))
--- a/cherrygrade/lab/capacity/reports.py
+++ b/cherrygrade/lab/capacity/reports.py
@@ -32,10 +32,12 @@
     bound: Any
     seen: Any
     held: bool | None
+    unit: str = ""
 
 
 class Report(msgspec.Struct, frozen=True):
-    """`measured`: true, or why nothing of it counts."""
+    """`measured`: true, or why not all of it counts. Where `lateness` tells each part of the run by itself,
+    parts that were measured count; else nothing of it does."""
 
     command: str
     commit: str
@@ -46,11 +48,43 @@
     lateness: dict[str, Any]
     figures: list[Figure]
     promises: list[Promise] = []
+    hollow_against_real: Any = None
+    """Of a scale run: what a hollow member comes to over a real one, by quantity."""
     name: str = ""
 
+    def counts(self, when: str) -> bool:
+        """Whether figures of this part of the run do."""
+        if self.measured is True:
+            return True
+        part = self._parts.get(when)
+        return isinstance(part, dict) and part.get("measured") is True
+
+    def factor(self, what: str) -> float | None:
+        """Hollow over real; None where the run does not tell it."""
+        told = self.hollow_against_real
+        rows = told.get("rows", []) if isinstance(told, dict) else []
+        found = next((one.get("factor") for one in rows if one.get("what") == what), None)
+        return float(found) if isinstance(found, int | float) and found > 0.0 else None
+
+    @property
+    def _parts(self) -> dict[str, Any]:
+        parts = self.lateness.get("parts", {})
+        return parts if isinstance(parts, dict) else {}
+
+    @property
+    def any_counts(self) -> bool:
+        return self.measured is True or any(self.counts(when) for when in self._parts)
+
     @property
-    def counts(self) -> bool:
-        return self.measured is True
+    def late(self) -> dict[str, Any]:
+        """Its own machinery's lateness, the worst of all parts where they are told one by one."""
+        told = [part for part in self._parts.values() if isinstance(part, dict)] or [self.lateness]
+        found: dict[str, Any] = {}
+        for part in told:
+            for name, value in part.items():
+                if "ms" in name and isinstance(value, int | float):
+                    found[name] = max(value, found.get(name, value))
+        return found
 
 
 class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -58,7 +92,8 @@
 
     `over`: the size that it grows with; `at`: that size at target. `group`: other sizes that have to be the
     same along a line. `budget` null: the target sets none. `carried`: why nothing carries it, else "".
-    `faults`: whether the worst second of each fault is shown.
+    `faults`: whether the worst second of each fault is shown. `as_real`: the figure is of hollow members, and
+    is divided by what its run found a hollow one to be of a real one; without that it does not count.
     """
 
     role: str
@@ -73,6 +108,7 @@
     when: str = "rest"
     carried: str = ""
     faults: bool = False
+    as_real: bool = False
     note: str = ""
 
 
--- a/cherrygrade/lab/capacity/slopes.py
+++ b/cherrygrade/lab/capacity/slopes.py
@@ -98,7 +98,7 @@
 
 def at(slope: Slope, size: float) -> Seen:
     """The figure at a size: as run, else between the nearest two, else beyond the last by the line; where
-    that bends, by the larger of the line's slope and the last interval's, from the last point on."""
+    that bends, by the last interval's slope from the last point on."""
     points = slope.points
     for one in points:
         if one.size == size:
@@ -109,7 +109,7 @@
         return Seen(low.mean + (high.mean - low.mean) / (high.size - low.size) * (size - low.size), 1.0)
     last = points[-1]
     if slope.bends:
-        return Seen(last.mean + max(slope.per, slope.last) * (size - last.size), size / last.size)
+        return Seen(last.mean + slope.last * (size - last.size), size / last.size)
     return Seen(slope.base + slope.per * size, size / last.size)
 
 
@@ -121,7 +121,7 @@
     for one, other in pairwise(points):
         if other.mean > budget:
             return one.size + (budget - one.mean) / (other.mean - one.mean) * (other.size - one.size)
-    grows = max(slope.per, slope.last) if slope.bends else slope.per
+    grows = slope.last if slope.bends else slope.per
     start = (points[-1].mean, points[-1].size) if slope.bends else (slope.base, 0.0)
     if grows <= 0.0:
         return float("inf")
