--- /dev/null
+++ b/tests/test_config_in_force.py
@@ -0,0 +1,409 @@
+"""A configuration comes into force in one dispatcher: whole or not at all, between two rounds."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from configured import free_ports
+from house import House, run
+
+from cherrygrade.cli import origin_of
+from cherrygrade.client import Ok, Rejected
+from cherrygrade.fleet.carriers.disk import found
+from cherrygrade.fleet.carriers.kept import KeptFile
+from cherrygrade.fleet.config.replica import Kept
+from cherrygrade.fleet.config.versions import NO_DIGEST, Divisors, Version
+from cherrygrade.gateway import inforce
+from cherrygrade.gateway.overlay import Overlay
+from cherrygrade.gateway.process import Gateway
+from cherrygrade.records.load import RecordError, read_site
+
+OWN = """
+place: {{name: "d{number}", listen: "127.0.0.1:0", register: "{register}", number: {number}, dispatchers: 3}}
+workloads: {{
+	read: {{soft_ms: 200, deadline_ms: 3000, value: 3}}
+	write: {{soft_ms: 300, deadline_ms: 3000, value: 3, writes: true}}
+	export: {{soft_ms: 1500, deadline_ms: 5000}}
+}}
+plans: gold: {{usual_rate: 1000, limit_rate: 300, limit_depth: 120}}
+plans: plain: {{usual_rate: 1000}}
+volumes: v: plan: plans.gold
+volumes: w: {{plan: plans.plain, hosts: 2}}
+earnings: {{in_share: 0.5, beyond: 0.1}}
+permits: come_back_ms: 500
+bounds: most_held: 100
+fleet: {{
+	name: "one", place: "{place}", config_file: "{folder}/kept"
+	council: {{voters: ["d0"], folder: "{folder}/store"}}
+}}
+"""
+ALL = """
+plans: gold: {usual_rate: 500, limit_rate: 30, limit_depth: 12, weight: 5, price: 2}
+workloads: read: {soft_ms: 100, deadline_ms: 2000, value: 4}
+workloads: scan: {soft_ms: 1000, deadline_ms: 4000}
+volumes: x: plan: plans.gold
+earnings: {in_share: 0.25, beyond: 0.05}
+cold: {units: 9, share: 0.5, multiple: 2, span_ms: 1000, warm_ms: 4000}
+budget: {spare: 2, share: 0.5, span_ms: 2000}
+permits: {most_sends: 2, come_back_ms: 700}
+bounds: {most_held: 7, answer_ms: 30, leave_ms: 900}
+"""
+
+
+def version(number: int, text: str, old: Divisors | None = None) -> Version:
+    return Version(number, NO_DIGEST, text, "a test", 0.0, old, number if old else 0)
+
+
+class One:
+    """One dispatcher that votes alone, with a node and a client."""
+
+    def __init__(self, house: House, folder: Path) -> None:
+        self.house, self.folder = house, folder
+
+    async def open(self, number: int = 0, *, own: str = OWN, kept: Kept | None = None) -> Gateway:
+        if not self.house.nodes:
+            await self.house.node(0)
+            await self.house.register.start()
+            found(self.folder / "store", "one", "d0", ["d0"])
+        self.file = self.folder / f"d{number}.rec"
+        place = f"127.0.0.1:{free_ports(1)[0]}"
+        more = {"number": number, "register": self.house.register.address, "place": place}
+        self.file.write_text(own.format(folder=self.folder, **more))
+        if kept is not None:
+            KeptFile(self.folder / "kept").save(msgspec.msgpack.encode(kept))
+        site = read_site(self.file)
+        gateway = Gateway(
+            site.place, site.trade, site.bearings, site.bounds, site.lines,
+            lambda event, **facts: self.house.logs.append((event, facts)),
+            cuts=site.cuts, pace=site.pace, fleet=site.fleet, origin=origin_of(site),
+            overlay=Overlay(self.file, (), site),
+        )  # fmt: skip
+        gateway.address = f"127.0.0.1:{await gateway.start()}"  # type: ignore[attr-defined]
+        self.house.gateways.append(gateway)
+        while not gateway.nodes.by_address:
+            await asyncio.sleep(0.005)
+        return gateway
+
+    async def sure(self, gateway: Gateway) -> None:
+        while not gateway._sure():
+            await asyncio.sleep(0.01)
+        gateway.rounds.stir()
+        await asyncio.sleep(0.01)
+        assert not gateway.company.yields
+
+
+def told(gateway: Gateway) -> dict[str, Any]:
+    """All that hangs on a configuration."""
+    module, rooms, gate = gateway.rounds.module, gateway.rooms, gateway.rounds.module.gate
+    return {
+        "trade": gateway.trade,
+        "bounds": gateway.bounds,
+        "come_back_ms": (gateway.come_back_ms, gateway.watch.come_back_ms),
+        "module": (module.earnings, module.permits, module.top, module.tight, module.ask_spread),
+        "gate": (gate.cold, gate.budget, gate.permits, gate.part, gate.key_rest_ms),
+        "counts": (module.company.counts, module.company.dispatchers, module.company.yields),
+        "volumes": {name: (one.plan, one.hosts, one.most, one.depth) for name, one in module.volumes.items()},
+        "lanes": [lane.tight for lane in [*module.lanes.values(), module.unplaced]],
+        "rooms": (dict(rooms._works), {name: (one[0].weight, one[1]) for name, one in rooms._shares.items()}),
+        "store": (rooms.store.in_share, rooms.store.beyond),
+        "record": gateway.party.core.record,
+        "stage": gateway._in_force[2],
+    }
+
+
+def test_all_that_hangs_on_a_version_goes_over_at_once(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        client = house.client(gateway)
+        assert isinstance(await client.write("write", "v", "k", b"x", shard=0, deadline_ms=2000), Ok)
+        assert await gateway.in_force(version(1, ALL), 3) == ""
+        site = gateway.overlay.site(ALL)
+        fresh = {
+            "trade": site.trade,
+            "bounds": site.bounds,
+            "come_back_ms": (700.0, 700.0),
+            "module": (site.bearings.earnings, site.bearings.permits, 4.0, 100.0, 1000.0),
+            "gate": (site.bearings.cold, site.bearings.budget, site.bearings.permits, 1.0, 0.0),
+            "counts": ((3,), 3, False),
+            "volumes": {"v": (site.trade.volumes["v"].plan, 3, 500.0 * 0.35, 1.0)},
+            "lanes": [100.0, 100.0],
+            "rooms": (
+                {
+                    "read": (True, 4.0, 25.0),
+                    "write": (False, 3.0, 75.0),
+                    "export": (False, 1.0, 375.0),
+                    "scan": (False, 1.0, 250.0),
+                },
+                {"v": (5.0, 2.0), "w": (1.0, 1.0), "x": (5.0, 2.0)},
+            ),
+            "store": (0.25, 0.05),
+            "record": 3,
+            "stage": 3,
+        }
+        assert told(gateway) == fresh
+        assert isinstance(await client.write("scan", "x", "k", b"x", shard=0, deadline_ms=3000), Ok)
+        assert await gateway.in_force(version(2, ""), 5) == ""  # and back to its own file
+        assert gateway.trade == gateway.overlay.own.trade
+        assert gateway.rounds.module.gate.budget is None
+
+    run(story)
+
+
+@pytest.mark.parametrize("broken", ["terms", "rooms"])
+def test_a_fault_while_it_is_built_leaves_everything_as_it_was_and_tells_why(tmp_path, monkeypatch, broken):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        client = house.client(gateway)
+        await client.write("write", "v", "k", b"x", shard=0, deadline_ms=2000)
+        before = told(gateway)
+        if broken == "terms":
+            text = "place: dispatchers: 3"
+            monkeypatch.setattr(inforce, "max", lambda *_, **__: 1 / 0, raising=False)
+        else:
+            text = "plans: gold: weight: 4"
+            monkeypatch.setattr("cherrygrade.peers.rooms.Share", lambda *_: 1 / 0)
+        with pytest.raises(ZeroDivisionError):
+            await gateway.in_force(version(1, f"{text}\nvolumes: x: plan: plans.gold"), 3)
+        assert told(gateway) == before
+        monkeypatch.undo()
+        assert isinstance(await client.write("write", "v", "k", b"y", shard=0, deadline_ms=2000), Ok)
+
+    run(story)
+
+
+WRONG = [
+    ("lines: most: 9", "lines.most: comes into force only with a restart"),
+    ('workloads: read: {soft_ms: 200, deadline_ms: 3000, effect: "tokened"}', "workloads.read.effect: comes"),
+    ("earnings: mean_units: 3", "earnings.mean_units: comes into force only with a restart"),
+    ("place: number: 0", "place.number: comes into force only with a restart"),
+    ("plans: gold: limit_rate: -1", "plans.gold.limit_rate"),
+    ("plans: gold: {limit_rate: 5, limit_depth: 0}", "plans.gold.limit_depth: 0, but limit_rate is set"),
+    # As an older program reads what a newer one knows.
+    ("plans: gold: limit_rat: 5", "plans.gold: no field 'limit_rat'"),
+    ("forecast: window_ms: 5", "forecast"),
+    ("plans: gold: {limit_rate", "configuration:"),
+]
+
+
+@pytest.mark.parametrize("text, why", WRONG)
+def test_what_cannot_come_into_force_is_refused_with_its_key_before_and_where_it_comes(tmp_path, text, why):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open(1, own=OWN.replace('voters: ["d0"]', 'voters: ["d9"]'))
+        before = told(gateway)
+        judged = gateway.overlay.judge("", text)
+        assert why in judged[0] and judged[1:] == (None, None)
+        assert await gateway.in_force(version(1, text), 3) == judged[0]
+        assert told(gateway) == before
+
+    run(story)
+
+
+def test_a_limit_that_is_lowered_cuts_the_store_at_once(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        client = house.client(gateway)
+        await client.write("write", "v", "k", b"x", shard=0, deadline_ms=2000)
+        await asyncio.sleep(0.5)
+        due = gateway.rounds.module.volumes["v"]
+        due.pass_time(gateway.clock())
+        assert due.store > 35.0  # of 120 over three
+        lower = "plans: gold: {usual_rate: 1000, limit_rate: 30, limit_depth: 12}"
+        assert await gateway.in_force(version(1, lower), 3) == ""
+        assert due.store <= 4.0 and gateway.rounds.module.volumes["v"] is due
+        goes = [client.write("write", "v", f"k{at}", b"x", shard=0, deadline_ms=400) for at in range(20)]
+        answers = await asyncio.gather(*goes)
+        assert sum(isinstance(answer, Ok) for answer in answers) <= 4 + 10 * 0.45 + 1
+
+    run(story)
+
+
+def test_what_is_held_goes_on_under_the_workload_that_it_was_taken_with(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        own = OWN.replace("limit_rate: 300, limit_depth: 120", "limit_rate: 12, limit_depth: 6")
+        gateway = await one.open(own=own)
+        await one.sure(gateway)
+        client = house.client(gateway)
+        writes = [
+            asyncio.ensure_future(client.write("export", "v", f"k{at}", b"x", shard=0, deadline_ms=4500))
+            for at in range(4)
+        ]
+        await asyncio.sleep(0.05)
+        held = [*gateway.held]
+        assert len(held) >= 3  # its limit lets four a second through
+        other = Overlay(one.file, (), gateway.overlay.own)
+        other._below = [("file", one.file.read_text().replace("export:", "other:"))]
+        gateway.overlay = other
+        faster = "plans: gold: {usual_rate: 1000, limit_rate: 300, limit_depth: 120}"
+        assert await gateway.in_force(version(1, faster), 3) == ""
+        assert "export" not in gateway.trade.workloads
+        assert {one.workload.name for one in held} == {"export"}
+        assert {(one.plan.limit_rate, one.hosts) for one in held} == {
+            (300.0, 3)
+        }  # its volume's plan is today's
+        assert all(isinstance(answer, Ok) for answer in await asyncio.gather(*writes))
+        late = await client.write("export", "v", "k", b"x", shard=0, deadline_ms=2000)
+        assert isinstance(late, Rejected) and "unknown workload" in late.reason
+
+    run(story)
+
+
+def test_pieces_of_a_range_go_on_under_its_workload_and_volume(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        house.volume("v", extents=8, extent_bytes=16384)
+        client = house.client(gateway)
+        body = bytes(range(256)) * 512  # eight extents, two pieces of it out at once
+        house.nodes[0].build.unit_ms = 20.0
+        write = asyncio.ensure_future(client.write("write", "v", "", body, offset=0, deadline_ms=2900))
+        while not gateway.held or not any(hasattr(held, "helds") and held.helds for held in gateway.held):
+            await asyncio.sleep(0.001)
+        other = Overlay(one.file, (), gateway.overlay.own)
+        gone = one.file.read_text().replace("\twrite:", "\tother:").replace("volumes: v:", "volumes: u:")
+        other._below = [("file", gone)]
+        gateway.overlay = other
+        assert await gateway.in_force(version(1, "earnings: in_share: 0.4"), 3) == ""
+        assert "write" not in gateway.trade.workloads and "v" not in gateway.trade.volumes
+        assert isinstance(await write, Ok)
+
+    run(story)
+
+
+def test_a_budget_may_come_and_go_while_it_is_counted(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        client = house.client(gateway)
+        budget = "budget: {spare: 5, share: 0.5, span_ms: 1000}"
+        for number, text in enumerate((budget, "", budget, "earnings: in_share: 0.4"), 1):
+            assert await gateway.in_force(version(number, text), 2 * number + 1) == ""
+            for key in ("a", "b"):
+                assert isinstance(await client.write("write", "w", key, b"x", shard=0, deadline_ms=2000), Ok)
+            assert bool(gateway.rounds.module.gate.taken) == (text == budget)
+
+    run(story)
+
+
+def test_one_that_does_not_know_the_fleets_version_has_no_part_and_serves_the_rest(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        # It votes in no council that anybody leads: nobody tells it.
+        gateway = await one.open(1, own=OWN.replace('voters: ["d0"]', 'voters: ["d9"]'))
+        client = house.client(gateway)
+        assert gateway.company.yields
+        assert isinstance(await client.write("write", "w", "k", b"x", shard=0, deadline_ms=500), Ok)
+        limited = await client.write("write", "v", "k", b"x", shard=0, deadline_ms=500)
+        assert not isinstance(limited, Ok)
+        gateway.party.config.replica._sure = True  # witnesses told it
+        assert isinstance(await client.write("write", "v", "k", b"x", shard=0, deadline_ms=900), Ok)
+        assert not gateway.company.yields
+
+    run(story)
+
+
+def test_its_store_begins_empty_once_it_knows(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open(1, own=OWN.replace('voters: ["d0"]', 'voters: ["d9"]'))
+        client = house.client(gateway)
+        await client.write("write", "v", "k", b"x", shard=0, deadline_ms=500)
+        due = gateway.rounds.module.volumes["v"]
+        due.pass_time(gateway.clock())
+        assert due.store > 20.0  # earned by a part that it did not have
+        gateway.party.config.replica._sure = True
+        gateway.rounds.stir()
+        await asyncio.sleep(0.01)
+        assert due.store < 5.0
+
+    run(story)
+
+
+def test_a_version_that_was_kept_is_in_force_before_anybody_is_served(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open(kept=Kept(7, version(3, ALL)))
+        assert gateway._in_force[2] == 7
+        order = [event for event, _ in house.logs if event in ("configuration in force", "listening")]
+        assert order == ["configuration in force", "listening"]
+        assert gateway.trade == gateway.overlay.site(ALL).trade
+
+    run(story)
+
+
+def test_while_parts_move_the_smaller_and_outside_of_a_count_none(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open(2, own=OWN.replace('voters: ["d0"]', 'voters: ["d9"]'))
+        gateway.party.config.replica._sure = True
+        old = gateway.overlay.judge("", "")[1]
+        assert old == Divisors(3, (("v", 3), ("w", 2)))
+        more, fewer = "place: dispatchers: 5", "place: dispatchers: 2"
+        assert await gateway.in_force(version(1, more, old), 2) == ""
+        assert gateway.company.counts == (3, 5) and gateway.trade.volumes["v"].hosts == 5
+        assert gateway.party.core.record == 5 and not gateway.company.yields
+        assert await gateway.in_force(version(1, more, old), 3) == ""
+        assert gateway.company.counts == (5,)
+        grown = gateway.overlay.judge("", more)[1]
+        assert await gateway.in_force(version(2, fewer, grown), 4) == ""
+        assert gateway.company.counts == (2, 5) and gateway.trade.volumes["v"].hosts == 5
+        assert gateway.company.yields and gateway.place.number == 2  # outside of the new count
+        assert await gateway.in_force(version(2, fewer, grown), 5) == ""
+        assert gateway.company.counts == (2,) and gateway.company.yields
+        assert gateway.party.core.record == 2
+        client = house.client(gateway)
+        assert isinstance(await client.write("write", "w", "k", b"x", shard=0, deadline_ms=900), Ok)
+
+    run(story)
+
+
+def test_the_mark_of_settings_is_the_own_files(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        await one.sure(gateway)
+        mark = gateway.party.core.roll.own.facts.settings
+        assert await gateway.in_force(version(1, ALL), 3) == ""
+        assert gateway.party.core.roll.own.facts.settings == mark == origin_of(gateway.overlay.own).settings
+
+    run(story)
+
+
+def test_divisors_that_were_named_stay_named(tmp_path):
+    async def story(house: House) -> None:
+        gateway = await One(house, tmp_path).open()
+        judge = gateway.overlay.judge
+        why, _, _ = judge("place: dispatchers: 5\nvolumes: w: hosts: 4", "earnings: in_share: 0.4")
+        assert why.startswith("place.dispatchers, volumes.w.hosts: the version before names it")
+        assert judge("place: dispatchers: 5", "place: dispatchers: 3")[0] == ""
+        assert judge("volumes: x: {plan: plans.gold, hosts: 1}", "")[0] == ""  # it is gone
+
+    run(story)
+
+
+def test_the_own_file_is_that_of_the_start(tmp_path):
+    async def story(house: House) -> None:
+        one = One(house, tmp_path)
+        gateway = await one.open()
+        before = gateway.overlay.site("")
+        one.file.write_text("nonsense {")
+        text = "earnings: in_share: 0.3"
+        assert gateway.overlay.site("") == before
+        assert gateway.overlay.site(text).bearings.earnings.in_share == 0.3
+        with pytest.raises(RecordError):
+            read_site(one.file)
+
+    run(story)
