--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -423,6 +423,8 @@
             why = f"reading it failed: {type(broke).__name__}: {broke}"[:500]
         if not why:
             self.since = self.clock()
+        if self.replica is not None:  # the fleet of record may be another now; bits go by its seats
+            self.replica.seats = max(self.core.record, self.core.roll.own.seat + 1)
         facts = {"number": version.number, "stage": stage, "digest": version.digest.hex()[:16]}
         if why:
             means = "This dispatcher stays on what it has."
