--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -19,24 +19,24 @@
 
 # A program of before: what it does not know breaks its reader.
 OLDER = """
-import cherrygrade.records.load as load
-held = load.read_site
-def read_site(path, extra=""):
-    if "30303" in extra:
+from cherrygrade.gateway.overlay import Overlay
+held = Overlay.site
+def site(self, text):
+    if "30303" in text:
         raise RecursionError("a form that this program never met")
-    return held(path, extra)
-load.read_site = read_site
+    return held(self, text)
+Overlay.site = site
 """
 # One whose reader is slow with a text.
 SLOW = """
 import time
-import cherrygrade.records.load as load
-held = load.read_site
-def read_site(path, extra=""):
-    if "20202" in extra:
+from cherrygrade.gateway.overlay import Overlay
+held = Overlay.site
+def site(self, text):
+    if "20202" in text:
         time.sleep(2.0)
-    return held(path, extra)
-load.read_site = read_site
+    return held(self, text)
+Overlay.site = site
 """
 
 
@@ -359,7 +359,7 @@
     async def story(fleet: Fleet) -> None:
         assert await fleet.put(limit(900)) == 1
         await fleet.all_on(1)
-        fewer = limit(900) + "volumes: v: hosts: 4\n"
+        fewer, more = (limit(900) + f"volumes: v: hosts: {count}\n" for count in (4, 5))
         assert await fleet.put(fewer) == 2
 
         async def settled() -> bool:
@@ -368,13 +368,13 @@
 
         await fleet.until(settled, WITHIN_S)
         await fleet.kill(4)
-        assert await fleet.put(limit(900)) == 3
+        assert await fleet.put(more) == 3
         await fleet.all_on(3)
         await asyncio.sleep(2.0)
         assert not any([(await fleet.status(number))["settled"] for number in fleet.running])
         with pytest.raises(ConfigRefused, match="parts still move"):
             await fleet.put(fewer)
-        assert await fleet.put(limit(800)) == 4  # what moves none passes
+        assert await fleet.put(more + "cold: warm_ms: 9000\n") == 4  # what moves none passes
         assert "dead" in (await fleet.missing(4))["d4"] or "cut off" in (await fleet.missing(4))["d4"]
         await fleet.start(4)
         await fleet.all_on(4)
