--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -305,6 +305,7 @@
         assert code == 2 and str(file) in told, told
         file.write_text(limit(700))
         assert (await commanded("put", str(file), *at))[0] == 0
+        await fleet.all_on(2)
         code, told, _ = await commanded("show", *at)
         assert code == 0 and len(told.splitlines()) == 3 and "version 2" in told, told
         code, told, _ = await commanded("show", "1", *at)
