--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -13,29 +13,30 @@
 from configured import ROOT, WITHIN_S, Fleet, limit, play
 
 from cherrygrade.fleet.carriers.ask import ask
+from cherrygrade.fleet.carriers.operator import PATIENCE_S, Put, visit
 from cherrygrade.fleet.errors import ConfigRefused, ConfigUnreached
 from cherrygrade.fleet.members.pages import Hint
 
 # A program of before: what it does not know breaks its reader.
 OLDER = """
-import cherrygrade.records.load as load
-held = load.read_site
-def read_site(path, extra=""):
-    if "30303" in extra:
+from cherrygrade.gateway.overlay import Overlay
+held = Overlay.site
+def site(self, text):
+    if "30303" in text:
         raise RecursionError("a form that this program never met")
-    return held(path, extra)
-load.read_site = read_site
+    return held(self, text)
+Overlay.site = site
 """
 # One whose reader is slow with a text.
 SLOW = """
 import time
-import cherrygrade.records.load as load
-held = load.read_site
-def read_site(path, extra=""):
-    if "20202" in extra:
-        time.sleep(1.5)
-    return held(path, extra)
-load.read_site = read_site
+from cherrygrade.gateway.overlay import Overlay
+held = Overlay.site
+def site(self, text):
+    if "20202" in text:
+        time.sleep(2.0)
+    return held(self, text)
+Overlay.site = site
 """
 
 
@@ -90,12 +91,14 @@
         voter = (leader + 1) % 3
         for number in (voter, 4):
             await fleet.kill(number)
-            for file in (tmp_path / f"d{number}").glob("*"):
-                if file.name in ("kept", "council.mdb"):
-                    data = bytearray(file.read_bytes())
-                    half = len(data) // 2
-                    data[half : half + 64] = bytes(64)
-                    file.write_bytes(data[:-9])
+        store, kept = tmp_path / f"d{voter}" / "council.mdb", tmp_path / f"d{voter}" / "kept"
+        data = bytearray(store.read_bytes())
+        data[len(data) // 2 :][:64] = bytes(64)
+        store.write_bytes(data[:-9])
+        kept.write_bytes(kept.read_bytes()[:-9])
+        other = tmp_path / "d4" / "kept"  # a disk that gave back other bytes: all else of it is sound
+        assert other.read_bytes().count(b"limit_rate: 898") == 1
+        other.write_bytes(other.read_bytes().replace(b"limit_rate: 898", b"limit_rate: 897"))
         for number in (voter, 4):
             await fleet.start(number)
         await fleet.all_on(3)
@@ -302,6 +305,7 @@
         assert code == 2 and str(file) in told, told
         file.write_text(limit(700))
         assert (await commanded("put", str(file), *at))[0] == 0
+        await fleet.all_on(2)
         code, told, _ = await commanded("show", *at)
         assert code == 0 and len(told.splitlines()) == 3 and "version 2" in told, told
         code, told, _ = await commanded("show", "1", *at)
@@ -335,24 +339,28 @@
 
 def test_a_text_that_takes_long_to_judge_is_waited_for_while_a_majority_answers(tmp_path):
     async def story(fleet: Fleet) -> None:
-        for number in (0, 1, 2):
-            await fleet.kill(number)
-            fleet.programs[number] = SLOW
-            await fleet.start(number)
-        await fleet.until(fleet.leads, 8.0)
         begun = time.monotonic()
-        assert await fleet.put(limit(20202), at=3) == 1
-        assert time.monotonic() - begun > 1.5
+        told = await visit(fleet.at(3), Put("one", limit(20202), "a story"))
+        assert told["number"] == 1 and time.monotonic() - begun > PATIENCE_S
         await fleet.all_on(1, 10.0)
+        leader = await fleet.leader()
+        asked = asyncio.create_task(visit(fleet.at(3), Put("two", limit(20202) + "\n", "a story")))
+        await asyncio.sleep(0.5)
+        begun = time.monotonic()
+        for number in {0, 1, 2} - {leader}:
+            await fleet.kill(number)
+        with pytest.raises(ConfigUnreached, match="may yet have become a version"):
+            await asked
+        assert time.monotonic() - begun < 3.0
 
-    play(story, tmp_path)
+    play(story, tmp_path, programs=dict.fromkeys((0, 1, 2), SLOW))
 
 
 def test_parts_that_move_settle_once_all_of_record_have_said_so_and_not_before(tmp_path):
     async def story(fleet: Fleet) -> None:
         assert await fleet.put(limit(900)) == 1
         await fleet.all_on(1)
-        fewer = limit(900) + "volumes: v: hosts: 4\n"
+        fewer, more = (limit(900) + f"volumes: v: hosts: {count}\n" for count in (4, 5))
         assert await fleet.put(fewer) == 2
 
         async def settled() -> bool:
@@ -361,13 +369,13 @@
 
         await fleet.until(settled, WITHIN_S)
         await fleet.kill(4)
-        assert await fleet.put(limit(900)) == 3
+        assert await fleet.put(more) == 3
         await fleet.all_on(3)
         await asyncio.sleep(2.0)
         assert not any([(await fleet.status(number))["settled"] for number in fleet.running])
         with pytest.raises(ConfigRefused, match="parts still move"):
             await fleet.put(fewer)
-        assert await fleet.put(limit(800)) == 4  # what moves none passes
+        assert await fleet.put(more + "cold: warm_ms: 9000\n") == 4  # what moves none passes
         assert "dead" in (await fleet.missing(4))["d4"] or "cut off" in (await fleet.missing(4))["d4"]
         await fleet.start(4)
         await fleet.all_on(4)
