--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -412,6 +412,8 @@
             return needs(restart)
         if self.done.done():
             return "the dispatcher ends"
+        if stage < self._in_force[2]:
+            return f"stage {stage}: {self._in_force[2]} is in force, and a stage never goes back"
         try:
             self._go_over(site, version, stage)
         except ValueError as wrong:
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -407,3 +407,14 @@
             read_site(one.file)
 
     run(story)
+
+
+def test_an_older_stage_never_comes_into_force_behind_a_newer_one(tmp_path):
+    async def story(house: House) -> None:
+        gateway = await One(house, tmp_path).open()
+        raised, lowered = (f"plans: gold: {{limit_rate: {rate}, limit_depth: 9}}" for rate in (900, 60))
+        assert await gateway.in_force(version(2, lowered), 5) == ""
+        assert "a stage never goes back" in await gateway.in_force(version(1, raised), 3)
+        assert gateway.trade.volumes["v"].plan.limit_rate == 60.0 and gateway._in_force[2] == 5
+
+    run(story)
