--- a/benchmarks/fleet_config.py
+++ b/benchmarks/fleet_config.py
@@ -3,7 +3,8 @@
 Processes of the program, all ways between them through one that delays and loses as told: two regions of
 three zones, 80 ms between regions (40 one way at least, 80 at most), 5% of datagrams lost. Changes one after
 the other; some with the leader killed as soon as the change is agreed; heals of a half that was cut off and
-missed changes; a minute of twenty changes; rest before the first version and on one. When a version came into
+missed changes; a minute of twenty changes; rest before the first version and on one; RPCs of clients with
+twenty changes a minute and with none. When a version came into
 force is each member's own clock, which all processes of a machine share. In full at 580 members the scale
 run does it, with hollow ones beside.
 
@@ -28,6 +29,7 @@
 import psutil
 from bench import ROOT
 
+from cherrygrade.client import Client, Ok
 from cherrygrade.fleet.carriers.ask import ask
 from cherrygrade.fleet.carriers.disk import found
 from cherrygrade.fleet.carriers.operator import Put, fresh_id, visit
@@ -36,13 +38,13 @@
 from cherrygrade.standin.control import Controller
 from cherrygrade.standin.ways import BOUND, FLEET, TOLD, host
 
-WORST_MS, P99_MS, HEAL_MS, AT_REST = 6000.0, 3000.0, 6000.0, 0.05
+WORST_MS, P99_MS, HEAL_MS, AT_REST, SERVICE = 6000.0, 3000.0, 6000.0, 0.05, 0.01
 VOTERS = [f"d{at}" for at in range(5)]
 ONE_WAY_MS, LOST = 40.0, 0.05
 A_DAY = 740.0
 PATIENCE_S = 30.0  # past that a change counts as never there
 SITE = {
-    "workloads": {"read": {"soft_ms": 400, "deadline_ms": 2000}},
+    "workloads": {"write": {"soft_ms": 400, "deadline_ms": 2000, "writes": True}},
     "permits": {"peers": True},
     "earnings": {"tells_elsewhere": False},
 }
@@ -60,7 +62,7 @@
         counts, config, council = told["counts"], told["config"] or {}, told["council"] or {}
         self.sent = counts["sent_bytes"] + config.get("given_bytes", 0) + council.get("said_bytes", 0)
         self.got = counts["got_bytes"] + config.get("fetched_bytes", 0)
-        self.pages = counts["sent_bytes"]
+        self.pages, self.count = counts["sent_bytes"], counts["sent"]
         used = process.cpu_times()
         self.cpu_ms = 1000.0 * (used.user + used.system)
 
@@ -73,6 +75,7 @@
         self.count, self.seed = count, seed
         self.told, self.bound = (int(place.rpartition(":")[2]) for place in free_places(2, "0.0.0.0"))
         self.ways, self.register = Child("ways", self.folder), Child("register", self.folder)
+        self.node = Child("node", self.folder)
         self.members = [Child(f"d{at}", self.folder) for at in range(count)]
         self.dead: set[int] = set()
         self.number = 0
@@ -80,6 +83,11 @@
 
     async def open(self) -> None:
         await self.register.start("cherrygrade", "standin", "register")
+        await self.node.start("cherrygrade", "standin", "node", "--build", '{"unit_ms": 2, "put_off": 0}')
+        listed = Controller(f"127.0.0.1:{self.register.ports[1]}")
+        await listed.connect()
+        node = f"127.0.0.1:{self.node.ports[0]}"
+        await listed.say("set", address=node, zone="z", shard=0, standing="live", start=1, age_ms=1e6)
         await self.ways.start(
             "cherrygrade", "standin", "ways", "--count", str(self.count), "--port", str(self.told),
             "--bound", str(self.bound), "--fleet", FLEET, "--seed", str(self.seed),
@@ -126,7 +134,7 @@
         return f"{host(BOUND, number)}:{self.bound}"
 
     async def close(self) -> None:
-        await asyncio.gather(*(one.end(9) for one in [*self.members, self.ways, self.register]))
+        await asyncio.gather(*(one.end(9) for one in [*self.members, self.ways, self.register, self.node]))
         shutil.rmtree(self.folder, ignore_errors=True)
 
     # What it does.
@@ -202,6 +210,36 @@
         return found_
 
 
+async def served(fleet: Fleet, seconds: float, changes: int) -> tuple[float, float]:
+    """Of writes through three members: the part that was answered, and p99 of those in ms."""
+    loop, took, asked = asyncio.get_running_loop(), list[float](), 0
+    clients = [Client(f"127.0.0.1:{fleet.members[at].ports[0]}", f"c{at}") for at in (5, 6, 7)]
+
+    async def one(client: Client, key: str) -> None:
+        begun = loop.time()
+        answer = await client.write("write", "open", key, b"x" * 64, shard=0, deadline_ms=2000)
+        if isinstance(answer, Ok):
+            took.append((loop.time() - begun) * 1000.0)
+
+    async def put() -> None:
+        for _ in range(changes):
+            await fleet.put()
+            await asyncio.sleep(seconds / max(1, changes) - 0.1)
+
+    puts = loop.create_task(put())
+    ends, tasks = loop.time() + seconds, list[asyncio.Task[None]]()
+    while loop.time() < ends:
+        for client in clients:
+            asked += 1
+            tasks.append(loop.create_task(one(client, f"k{asked}")))
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*tasks, puts)
+    for client in clients:
+        client.close()
+    took.sort()
+    return len(took) / asked, took[int(0.99 * len(took))] if took else float("inf")
+
+
 def spread(samples: list[dict[int, Sample]], roles: dict[int, str], when: str) -> list[dict[str, Any]]:
     """By role, a second: mean over members and time, the worst second of any member, and how means differ."""
     rows = []
@@ -244,9 +282,31 @@
     }
 
 
-def pages(rows: list[dict[str, Any]], when: str) -> float:
-    """Bytes of pages a second, over the roles' means."""
-    return mean(one["mean"] for one in rows if one["when"] == when and one["what"] == "pages sent")
+def page(samples: list[dict[int, Sample]]) -> float:
+    """Bytes of a page in the mean, over all members: what one costs more does not hang on how many went."""
+    first, last = samples[0], samples[-1]
+    sent = sum(last[at].pages - first[at].pages for at in first)
+    return sent / max(1, sum(last[at].count - first[at].count for at in first))
+
+
+def a_day(rows: list[dict[str, Any]], role: str) -> dict[str, Any]:
+    """Of 740 changes a day in the mean, from the minute of twenty over rest."""
+    held = {(one["when"], one["what"]): one["mean"] for one in rows if one["role"] == role}
+    rest, much = "at rest, on a version", "twenty changes in a minute"
+    each = {
+        what: 60.0 / 20.0 * (held[(much, what)] - held[(rest, what)])
+        for what in ("sent", "got", "processor time")
+    }
+    told = f"a change: {each['sent']:.0f} bytes sent, {each['got']:.0f} got, {each['processor time']:.1f} ms"
+    return {
+        "role": role,
+        "what": f"processor time of 740 changes a day ({told})",
+        "unit": "ms/s",
+        "when": "a day",
+        "mean": round(A_DAY / 86400.0 * each["processor time"], 4),
+        "worst_second": None,
+        "spread": None,
+    }
 
 
 async def measure(count: int, changes: int, kills: int, heals: int, rest_s: int, seed: int) -> dict[str, Any]:
@@ -265,11 +325,21 @@
             for at in range(count)
         }
         await asyncio.sleep(3.0)
-        figures += spread(await fleet.sampled(rest_s), roles, "at rest, no version yet")
+        none = await fleet.sampled(rest_s)
+        figures += spread(none, roles, "at rest, no version yet")
         await fleet.last(await fleet.put())
         await asyncio.sleep(8.0)
-        figures += spread(await fleet.sampled(rest_s), roles, "at rest, on a version")
+        one = await fleet.sampled(rest_s)
+        figures += spread(one, roles, "at rest, on a version")
         figures += spread(await fleet.sampled(60, 20), roles, "twenty changes in a minute")
+        figures += [a_day(figures, role) for role in dict.fromkeys(roles.values())]
+        await served(fleet, 3.0, 0)  # until the node is taken for warm
+        service = {changes_: await served(fleet, 2.0 * rest_s, changes_) for changes_ in (0, 2 * rest_s // 3)}
+        for changes_, (part, p99) in service.items():
+            when = "twenty changes a minute" if changes_ else "no change"
+            for what, unit, value in (("service", "part", part), ("p99 of RPCs", "ms", p99)):
+                row = {"role": "client", "what": what, "unit": unit, "when": when, "mean": round(value, 4)}
+                figures.append({**row, "worst_second": None, "spread": None})
         plain = [await fleet.last(await fleet.put()) for _ in range(changes)]
         figures.append(times("fleet", "one change after the other", plain))
         killed = []
@@ -306,8 +376,9 @@
         promise("p99 of one change, ms", P99_MS, ordered[min(len(ordered) - 1, int(0.99 * len(ordered)))])
         promise("worst with the leader killed, ms", WORST_MS, max(killed, default=float("inf")))
         promise("worst after a heal, ms", HEAL_MS, max(healed, default=float("inf")))
-        more = pages(figures, "at rest, on a version") / pages(figures, "at rest, no version yet") - 1.0
-        promise("bytes of pages at rest over none, part", AT_REST, more)
+        promise("bytes of a page at rest over none, part", AT_REST, page(one) / page(none) - 1.0)
+        lost = 1.0 - min(part for part, _ in service.values()) / service[0][0]
+        promise("service lost with twenty changes a minute over none, part", SERVICE, lost)
     finally:
         await fleet.close()
     size = {"members": count, "voters": len(VOTERS), "changes": changes, "kills": kills, "heals": heals}
@@ -330,8 +401,8 @@
     told = " ".join(["python benchmarks/fleet_config.py", *sys.argv[1:]])
     report = {"command": told, "commit": commit.stdout.strip(), **found_}
     for one in report["figures"]:
-        print(f"{one['when']}: {one['role']} {one['what']}: {one['mean']} {one['unit']}, ", end="")
-        print(f"worst {one['worst_second']}, spread {one['spread']}")
+        told = f"{one['when']}: {one['role']} {one['what']}: {one['mean']} {one['unit']}"
+        print(told, *([f"worst {one['worst_second']}"] if one["worst_second"] is not None else []))
     for one in report["promises"]:
         print(f"{one['what']}: {one['seen']} (bound {one['bound']}) {'held' if one['held'] else 'BROKEN'}")
     if given.report:
