Capacity: promises over all reports in one table, bends and lines by three sizes, lists that are told whole

The page's reader takes the configuration's reports under their own names of roles and quantities. Figures of hollow members stand as a real one's by the factor that their run tells; beyond what was run a line needs three sizes.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -748,6 +748,33 @@
             stand.close()
 
 
+async def lists(book: Book, quick: bool) -> None:
+    """The register as a stand-in, which tells its list whole: what a dispatcher that starts then answers."""
+    for count in (120, 300, 340, 1200):
+        stand = Stand()
+        try:
+            _, _, addresses = stand.nodes(count)
+            process = stand.start(["-m", "cherrygrade", "standin", "register"], None)
+            port, control = (int(part) for part in stand.told(process))
+            teller = Controller(f"127.0.0.1:{control}")
+            await teller.connect()
+            for shard, address in enumerate(addresses):
+                entry = {"address": address, "shard": float(shard), "zone": "z1", "age_ms": 1e7}
+                await teller.say("set", **entry, standing="live")
+            _, port = stand.dispatcher(f"127.0.0.1:{port}", None)
+            await asyncio.sleep(1.5)
+            load = Load(port, count, 100.0)
+            await load.start()
+            async with Late(book):
+                await asyncio.sleep(2.0 if quick else 4.0)
+            await load.end()
+            ok, asked = len(load.tally.ok), load.peer.next - 1
+            what = f"RPCs answered well before {count} nodes, by a list that the register tells whole"
+            book.promise(what, asked, ok, ok >= KEPT_RATE * asked)
+        finally:
+            stand.close()
+
+
 def _list_bytes(entries: int) -> int | None:
     listed = [
         wire.Entry(f"10.0.{at // 250}.{at % 250}:7400", "z1", "k", at, "live", 1.0, 1, 1e7)
@@ -987,6 +1014,7 @@
 PARTS: dict[str, Callable[[Book, bool], Awaitable[None]]] = {
     "holder": holder,
     "register": register,
+    "lists": lists,
     "council": council,
     "modules": modules,
     "idle_serve": idle_serve,
--- a/cherrygrade/lab/capacity/page.py
+++ b/cherrygrade/lab/capacity/page.py
@@ -11,8 +11,8 @@
 
 from cherrygrade.errors import Trouble
 from cherrygrade.lab.capacity.errors import PageWrong
-from cherrygrade.lab.capacity.reports import Figure, Report, Row, Target, read_reports, read_target
-from cherrygrade.lab.capacity.slopes import ENOUGH, Point, Seen, Slope, at, fit, pooled, reaches
+from cherrygrade.lab.capacity.reports import Figure, Promise, Report, Row, Target, read_reports, read_target
+from cherrygrade.lab.capacity.slopes import ENOUGH, LEAST, Point, Seen, Slope, at, fit, pooled, reaches
 
 WITHIN, OVER, NOTHING, NOT_RUN, NO_BUDGET = "within", "**over**", "**nothing carries it**", "not run", "-"
 MARKED = re.compile(r"(<!-- drawn: ([a-z ]+) -->\n).*?(<!-- end -->)", re.DOTALL)
@@ -29,11 +29,14 @@
     reports: list[str] = field(default_factory=list)
 
     def target(self, times: float = 1.0) -> Seen | None:
+        """None where nothing was run, or too few sizes to say anything of this one."""
         size = self.row.at * times
-        if self.slope is not None:
-            return at(self.slope, size)
         same = [point for point in self.points if point.size == size]
-        return Seen(same[0].mean, 1.0) if same else None
+        if same:
+            return Seen(same[0].mean, 1.0)
+        if self.slope is None or (size > self.points[-1].size and len(self.points) < LEAST):
+            return None
+        return at(self.slope, size)
 
     def verdict(self, seen: Seen | None) -> str:
         if self.row.carried:
@@ -80,7 +83,7 @@
     if worst and figure.worst_second is not None:
         value = figure.worst_second / factor
         return Point(size, value, value, value)
-    low, high = figure.spread or (figure.mean, figure.mean)
+    low, high = figure.range
     return Point(size, figure.mean / factor, min(low, figure.mean) / factor, max(high, figure.mean) / factor)
 
 
@@ -90,7 +93,7 @@
         return "-"
     if not isinstance(value, int | float) or isinstance(value, bool):
         return str(value)
-    if value == 0.0:
+    if abs(value) < 1e-6:
         return "0"
     if abs(value) >= 100.0:
         return f"{value:,.0f}"
@@ -114,6 +117,11 @@
     return number(seen.figure) + (f" (x{seen.beyond:.2g} beyond)" if seen.extrapolated else "")
 
 
+def named(row: Row) -> str:
+    """The quantity and its unit, where that says more."""
+    return row.what if row.unit in ("", row.what) else f"{row.what}, {row.unit}"
+
+
 def sloped(line: Line) -> str:
     slope = line.slope
     if slope is None:
@@ -156,7 +164,7 @@
 | what | over | slope as measured | sizes | at target | budget | verdict | mechanism | run |
 | --- | --- | --- | --- | --- | --- | --- | --- | --- |
 {% for line in lines[role] -%}
-| {{ line.row.what }}, {{ line.row.unit }}{{ " (" ~ line.row.note ~ ")" if line.row.note }} \
+| {{ named(line.row) }}{{ " (" ~ line.row.note ~ ")" if line.row.note }} \
 | {{ line.row.over }} | {{ sloped(line) }} | {{ spans(line) }} \
 | {{ told(line.target()) }} at {{ number(line.row.at) }} \
 | {{ number(line.row.budget) ~ " (" ~ line.row.budget_by ~ ")" if line.row.budget is not none else "none" }} \
@@ -168,16 +176,14 @@
 | role | what, worst second | budget |{% for when in target.faults %} {{ when }} |{% endfor %}
 | --- | --- | --- |{% for when in target.faults %} --- |{% endfor %}
 {% for row, cells in faults -%}
-| {{ row.role }} | {{ row.what }}, {{ row.unit }} | {{ number(row.budget) }} |\
+| {{ row.role }} | {{ named(row) }} | {{ number(row.budget) }} |\
 {% for cell in cells %} {{ cell }} |{% endfor %}
 {% endfor %}""",
     "promises": """\
-| report | promise | bound | seen | held |
-| --- | --- | --- | --- | --- |
-{% for name, one in promises -%}
-| `{{ name }}` | {{ one.what }} | {{ number(one.bound) }} {{ one.unit }} \
-| {{ number(one.seen) }} {{ one.unit }} \
-| {{ "yes" if one.held else "not run" if one.held is none else "**no**" }} |
+| promise | bound | seen, by report | held |
+| --- | --- | --- | --- |
+{% for one in promises -%}
+| {{ one.what }} | {{ one.bound }} | {{ one.seen }} | {{ one.held }} |
 {% endfor %}""",
     "first": """\
 | role | what | when | passes its budget at | target | run |
@@ -190,7 +196,7 @@
 | role | what | at target | at twice the target | budget | verdict |
 | --- | --- | --- | --- | --- | --- |
 {% for line in budgeted -%}
-| {{ line.row.role }} | {{ line.row.what }}, {{ line.row.unit }}, over {{ line.row.over }} \
+| {{ line.row.role }} | {{ named(line.row) }}, over {{ line.row.over }} \
 | {{ told(line.target()) }} | {{ told(line.target(2.0)) }} | {{ number(line.row.budget) }} \
 | {{ line.verdict(line.target(2.0)) }} |
 {% endfor %}""",
@@ -213,19 +219,20 @@
             _reach(line, when, first)
         if cells:
             faults.append((row, cells))
-        _reach(drawn_from(row, reports), "rest", first)
+        _reach(drawn_from(row, reports), row.when, first)
     values = {
         "target": target,
         "reports": reports,
         "lines": lines,
         "faults": faults,
-        "promises": [(one.name, promise) for one in reports if one.any_counts for promise in one.promises],
+        "promises": promises(reports),
         "first": [one for _, one in sorted(first, key=lambda pair: pair[0])],
         "budgeted": [
             line for some in lines.values() for line in some if line.row.budget is not None and line.points
         ],
         "number": number,
         "told": told,
+        "named": named,
         "sloped": sloped,
         "spans": spans,
         "counted": counted,
@@ -236,12 +243,37 @@
     return {name: text.rstrip("\n") + "\n" for name, text in found.items()}
 
 
+def promises(reports: list[Report]) -> list[dict[str, str]]:
+    """A row a promise, over all reports. What is to be none at all in each part of a run is one promise, and
+    its worst part is shown."""
+    found: dict[tuple[str, str], dict[str, list[Promise]]] = {}
+    for report in reports:
+        for one in report.promises if report.any_counts else []:
+            what = one.what if one.bound else one.what.rpartition(": ")[2]
+            bound = f"{number(one.bound)} {one.unit}".strip()
+            found.setdefault((what, bound), {}).setdefault(report.name, []).append(one)
+    rows = []
+    for (what, bound), by_report in found.items():
+        seen, broken = [], []
+        for name, some in by_report.items():
+            worst = max(some, key=lambda one: (one.held is False, _value(one.seen)))
+            seen.append(f"{name.removesuffix('.json')}: {number(worst.seen)}")
+            broken += [name.removesuffix(".json")] * (worst.held is False)
+        held = "yes" if not broken else "**no**" if len(by_report) == 1 else f"**no**: {', '.join(broken)}"
+        rows.append({"what": what, "bound": bound, "seen": ", ".join(seen), "held": held})
+    return rows
+
+
+def _value(seen: object) -> float:
+    return float(seen) if isinstance(seen, int | float) else float("inf")
+
+
 def _reach(line: Line, when: str, first: list[tuple[float, dict[str, str]]]) -> None:
-    """Where the line passes its budget, if it does so below four times the target."""
+    """Where the line passes its budget, if it does so below twice the target."""
     if line.slope is None or line.row.budget is None:
         return
     size = reaches(line.slope, line.row.budget)
-    if size > 4.0 * line.row.at:
+    if size > 2.0 * line.row.at or (size > line.points[-1].size and len(line.points) < LEAST):
         return
     beyond = size / line.slope.points[-1].size
     first.append(
@@ -249,7 +281,7 @@
             size / line.row.at,
             {
                 "role": line.row.role,
-                "what": f"{line.row.what}, {line.row.unit}",
+                "what": named(line.row),
                 "when": when,
                 "reach": number(size) + (f" (x{beyond:.2g} beyond)" if beyond > 1.0 else ""),
                 "over": line.row.over,
--- a/cherrygrade/lab/capacity/reports.py
+++ b/cherrygrade/lab/capacity/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,7 @@
 
 class Figure(msgspec.Struct, frozen=True):
     """One role's figure in one phase. `size`: where it differs from its report's, the keys that do.
-    `spread`: least and most, over repeats or over members."""
+    `spread`: least and most, over repeats or over members; one number: how far either way, usually."""
 
     role: str
     what: str
@@ -23,9 +24,16 @@
     when: str
     mean: float
     worst_second: float | None = None
-    spread: tuple[float, float] | None = None
+    spread: tuple[float, float] | float | None = None
     size: dict[str, float] = {}
 
+    @property
+    def range(self) -> tuple[float, float]:
+        if isinstance(self.spread, tuple):
+            return self.spread
+        apart = self.spread or 0.0
+        return self.mean - apart, self.mean + apart
+
 
 class Promise(msgspec.Struct, frozen=True):
     what: str
@@ -43,10 +51,10 @@
     commit: str
     seed: int | str
     size: dict[str, float]
-    machine: dict[str, Any]
     measured: bool | str
-    lateness: dict[str, Any]
     figures: list[Figure]
+    machine: dict[str, Any] = {}
+    lateness: dict[str, Any] = {}
     promises: list[Promise] = []
     hollow_against_real: Any = None
     """Of a scale run: what a hollow member comes to over a real one, by quantity."""
@@ -121,11 +129,18 @@
 
 
 class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`also`: what reports of other benchmarks call a role or a quantity; what stands in brackets or behind
+    a semicolon there is passed over."""
+
     roles: list[str]
     quantities: list[str]
     faults: list[str]
     goals: list[Goal]
     rows: list[Row]
+    also: dict[str, str] = {}
+
+    def named(self, told: str) -> str:
+        return self.also.get(re.split(r";| \(", told)[0], told)
 
 
 def read_target(folder: Path) -> Target:
@@ -162,15 +177,19 @@
         raise ReportWrong(f"{name}: no commit: nobody can say which code gave its figures")
     if report.measured is False:
         raise ReportWrong(f"{name}: `measured` is false and does not say why")
-    for number, figure in enumerate(report.figures):
+    figures = []
+    for number, told in enumerate(report.figures):
+        role, what = target.named(told.role), target.named(told.what)
+        figure = msgspec.structs.replace(told, role=role, what=what)
+        figures.append(figure)
         place = f"{name}: figures[{number}]"
         if figure.role not in target.roles:
             raise ReportWrong(f"{place}: role '{figure.role}' is not one of {', '.join(target.roles)}")
         if figure.what not in target.quantities:
             raise ReportWrong(f"{place}: '{figure.what}' is not one of {', '.join(target.quantities)}")
-        if figure.spread is not None and figure.spread[0] > figure.spread[1]:
+        if figure.range[0] > figure.range[1]:
             raise ReportWrong(f"{place}: spread {figure.spread} is the wrong way round")
-    return msgspec.structs.replace(report, name=name)
+    return msgspec.structs.replace(report, name=name, figures=figures)
 
 
 def read_reports(folder: Path, target: Target) -> list[Report]:
--- a/cherrygrade/lab/capacity/slopes.py
+++ b/cherrygrade/lab/capacity/slopes.py
@@ -12,6 +12,8 @@
 from cherrygrade.lab.capacity.errors import TooFew
 
 ENOUGH = 4  # sizes, for a slope that the page calls measured
+LEAST = 3  # sizes, for a word on what lies beyond them
+SEEN_BEND = 0.05  # of the steeper slope: a smaller difference is none, however small the spread
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +31,7 @@
     """`per`: of one more; `base`: at size 0; `residual`: root of the mean squared distance to the line.
 
     `first`, `last`: the slope between the first two sizes and the last two; `spread`: by how much these two
-    may differ by the points' own spread alone; `bends`: they differ by more.
+    may differ by the points' own spread alone; `bends`: they differ by more, and by a twentieth at least.
     """
 
     points: tuple[Point, ...]
@@ -86,7 +88,7 @@
     first, apart = _between(found[0], found[1])
     last, more = _between(found[-2], found[-1])
     spread = apart + more
-    bends = len(found) > 2 and abs(last - first) > spread
+    bends = len(found) > 2 and abs(last - first) > max(spread, SEEN_BEND * max(abs(first), abs(last)))
     return Slope(tuple(found), per, base, residual, first, last, spread, bends)
 
 
@@ -98,7 +100,7 @@
 
 def at(slope: Slope, size: float) -> Seen:
     """The figure at a size: as run, else between the nearest two, else beyond the last by the line; where
-    that bends, by the last interval's slope from the last point on."""
+    that bends, by the last interval's slope from the last point on. Never under 0."""
     points = slope.points
     for one in points:
         if one.size == size:
@@ -109,8 +111,8 @@
         return Seen(low.mean + (high.mean - low.mean) / (high.size - low.size) * (size - low.size), 1.0)
     last = points[-1]
     if slope.bends:
-        return Seen(last.mean + slope.last * (size - last.size), size / last.size)
-    return Seen(slope.base + slope.per * size, size / last.size)
+        return Seen(max(0.0, last.mean + slope.last * (size - last.size)), size / last.size)
+    return Seen(max(0.0, slope.base + slope.per * size), size / last.size)
 
 
 def reaches(slope: Slope, budget: float) -> float:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -173,6 +173,16 @@
         read(report(**changed))
 
 
+def test_other_names_of_roles_and_quantities_are_those_of_the_list() -> None:
+    told = report(figure(1.0) | {"role": "dispatcher", "what": "sent (a change: 12 bytes)", "spread": 0.5})
+    with pytest.raises(ReportWrong, match="role 'dispatcher'"):
+        read(told)
+    also = {"dispatcher": "dispatcher control", "sent": "bytes sent"}
+    target = msgspec.structs.replace(TARGET, also=also)
+    (one,) = read_report("one.json", json.dumps(told).encode(), target).figures
+    assert (one.role, one.what, one.range) == ("dispatcher control", "bytes sent", (0.5, 1.5))
+
+
 def test_a_report_without_a_command_key_is_refused() -> None:
     told = report(figure(1.0))
     del told["command"]
