--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
 """Tests that are known to fail for a real fault: KNOWN-RED.txt at the root, a line each of
 `test | cause | issue`, three at most. Just these are passed over, and told at the end. A line too many is
 red, and so is a listed test that passes or is skipped; with --known-red, as script/pytest runs, one that is
-not found too: each of its two calls looks among the tests of both. It holds with and without workers.
+not found too: each of its calls looks among the tests of all. It holds with and without workers.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 import pytest
 
 MOST = 3
-ELSEWHERE = "long"  # marks what neither of script/pytest's calls runs
+ELSEWHERE = "long"  # marks what none of script/pytest's calls runs
 
 
 def read(file: Path) -> dict[str, str]:
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -17,6 +17,8 @@
 from cherrygrade.fleet.errors import ConfigRefused, ConfigUnreached
 from cherrygrade.fleet.members.pages import Hint
 
+pytestmark = pytest.mark.few
+
 # A program of before: what it does not know breaks its reader.
 OLDER = """
 from cherrygrade.gateway.overlay import Overlay
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,5 @@
 """What KNOWN-RED.txt does to a run, played on a folder with tests of its own: in one process, between
-workers, and over both calls of script/pytest.
+workers, and over all calls of script/pytest.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 def lay(folder: Path, tests: str, listed: str | None, line: list[str]) -> subprocess.CompletedProcess[str]:
     (folder / "test_it.py").write_text(tests)
-    (folder / "pytest.ini").write_text("[pytest]\nmarkers =\n    long\n    alone\n")
+    (folder / "pytest.ini").write_text("[pytest]\nmarkers =\n    long\n    few\n    alone\n")
     if listed is not None:
         (folder / "KNOWN-RED.txt").write_text(listed)
     return subprocess.run(
@@ -46,8 +46,8 @@
     return lay(folder, TESTS, listed, [sys.executable, "-m", "pytest", *PLUGINS, "--known-red", *more])
 
 
-def both(folder: Path, listed: str | None, *tests: tuple[str, str, bool]) -> subprocess.CompletedProcess[str]:
-    """Both calls over tests, each of a name, a mark and whether it is green."""
+def all_calls(folder: Path, listed: str | None, *tests: tuple[str, str, bool]) -> subprocess.CompletedProcess[str]:
+    """All calls over tests, each of a name, a mark and whether it is green."""
     text = "import pytest\n"
     for name, mark, green in tests:
         text += f"\n@pytest.mark.{mark}\n" if mark else "\n"
@@ -56,7 +56,7 @@
 
 
 def counts(done: subprocess.CompletedProcess[str]) -> list[dict[str, int]]:
-    """What each call's closing line says, but for what the other call plays."""
+    """What each call's closing line says, but for what the other calls play."""
     lines = re.findall(r"^=+ (.*) in [0-9.]+s =+$", done.stdout, re.MULTILINE)
     found = [{kind: int(count) for count, kind in re.findall(r"(\d+) (\w+)", line)} for line in lines]
     return [{kind: count for kind, count in one.items() if kind != "deselected"} for one in found]
@@ -98,38 +98,42 @@
     assert done.returncode not in (0, 1) and why in done.stdout + done.stderr
 
 
-BESIDE, ALONE = ("beside", "", True), ("alone", "alone", True)
+BESIDE, FEW, ALONE = CALLS = ("beside", "", True), ("few", "few", True), ("alone", "alone", True)
 
 
-def test_both_calls_run_each_its_own_tests_once_and_nothing_that_is_long(tmp_path):
-    long = ("later", "long", False), ("late", "alone\n@pytest.mark.long", False)
-    done = both(tmp_path, None, BESIDE, ALONE, *long)
-    assert done.returncode == 0 and counts(done) == [{"passed": 1}, {"passed": 1}]
+def test_each_call_runs_its_own_tests_once_and_nothing_that_is_long(tmp_path):
+    marks = "", "few\n@pytest.mark.", "alone\n@pytest.mark."
+    long = [(f"late_{at}", f"{mark}long", False) for at, mark in enumerate(marks)]
+    done = all_calls(tmp_path, None, *CALLS, *long)
+    assert done.returncode == 0 and counts(done) == [{"passed": 1}] * 3
 
 
-@pytest.mark.parametrize("red", [0, 1])
-def test_either_call_is_enough_to_be_red_and_the_other_is_played_all_the_same(tmp_path, red):
-    tests = [(name, mark, at != red) for at, (name, mark, _) in enumerate((BESIDE, ALONE))]
-    done = both(tmp_path, None, *tests)
+@pytest.mark.parametrize("red", range(3))
+def test_any_call_is_enough_to_be_red_and_the_others_are_played_all_the_same(tmp_path, red):
+    tests = [(name, mark, at != red) for at, (name, mark, _) in enumerate(CALLS)]
+    done = all_calls(tmp_path, None, *tests)
     assert done.returncode == 1
-    assert counts(done)[red] == {"failed": 1} and counts(done)[1 - red] == {"passed": 1}
-    assert ("with 1, in a row with 0" if red == 0 else "with 0, in a row with 1") in done.stdout
+    assert counts(done) == [{"failed": 1} if at == red else {"passed": 1} for at in range(3)]
+    told = ["with 1" if at == red else "with 0" for at in range(3)]
+    assert f"{told[0]}, a few at a time {told[1]}, in a row {told[2]}" in done.stdout
 
 
-@pytest.mark.parametrize("there", [BESIDE, ALONE])
-def test_a_call_that_finds_no_test_is_red(tmp_path, there):
-    done = both(tmp_path, None, there)
-    assert done.returncode == 1 and "with 5" in done.stdout
+@pytest.mark.parametrize("lacks", CALLS)
+def test_a_call_that_finds_no_test_is_red(tmp_path, lacks):
+    done = all_calls(tmp_path, None, *(one for one in CALLS if one is not lacks))
+    assert done.returncode == 1 and done.stdout.count("with 5") == 1
 
 
-def test_a_listed_test_is_found_in_either_call_and_told_once(tmp_path):
-    listed = "".join(f"test_it.py::test_{name} | a fault | 36\n" for name in ("red", "one"))
-    done = both(tmp_path, listed, BESIDE, ALONE, ("red", "", False), ("one", "alone", False))
-    assert done.returncode == 0 and counts(done) == [{"passed": 1, "xfailed": 1}] * 2
-    assert done.stdout.count("known red: ") == 2
+def test_a_listed_test_is_found_in_any_call_and_told_once(tmp_path):
+    reds = ("red", "", False), ("one", "alone", False), ("two", "few", False)
+    listed = "".join(f"test_it.py::test_{name} | a fault | 36\n" for name, _, _ in reds)
+    done = all_calls(tmp_path, listed, *CALLS, *reds)
+    assert done.returncode == 0 and counts(done) == [{"passed": 1, "xfailed": 1}] * 3
+    assert done.stdout.count("known red: ") == 3
 
 
 @pytest.mark.parametrize("mark", ["long", "skip"])
-def test_a_listed_test_that_neither_call_plays_is_red(tmp_path, mark):
-    done = both(tmp_path, "test_it.py::test_red | a fault | 36\n", BESIDE, ALONE, ("red", mark, False))
+def test_a_listed_test_that_no_call_plays_is_red(tmp_path, mark):
+    listed = "test_it.py::test_red | a fault | 36\n"
+    done = all_calls(tmp_path, listed, *CALLS, ("red", mark, False))
     assert done.returncode == 1 and "test_it.py::test_red" in done.stdout
--- a/tests/test_parts_processes.py
+++ b/tests/test_parts_processes.py
@@ -8,12 +8,15 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from configured import Fleet
 from house import House, run
 
 from cherrygrade.client import Client
 from cherrygrade.standin.node import Build, Node
 
+pytestmark = pytest.mark.few
+
 SLACK_MS = 150.0  # by which what was sent apart may be seen together: a busy machine
 COLD_UNITS, SPAN_MS, WARM_MS, SHARE = 18.0, 1000.0, 60_000.0, 0.5
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -289,6 +289,7 @@
 NEVER = "not within the part"
 
 
+@pytest.mark.alone
 def test_forty_of_them_eight_real_know_a_death_and_a_heal_and_keep_their_promises():
     told = played(
         "real: 8", "bare: 1", "loaded: 1", "nodes: 3", "drills: 4", "lease_ms: 2000",
@@ -319,17 +320,20 @@
         assert told["hollow_against_real"]["real"] == 3 and len(told["hollow_against_real"]["rows"]) == 6
 
 
+@pytest.mark.few
 def test_a_member_that_answers_for_the_dead_one_is_convicted():
     spans = SHORT.replace("rest: 2000", "rest: 0").replace(" one_dead: 0", " one_dead: 7000")
     told = played(*HOLLOW, spans + ", cut: 0, heal: 0, restarted: 0}", breaks="answers for the dead")
     assert seen(told, "one dead: known to all that live") == NEVER
 
 
+@pytest.mark.few
 def test_a_heal_that_never_comes_is_convicted():
     spans = SHORT.replace("rest: 2000", "rest: 0") + ", cut: 5000, heal: 4000, restarted: 0}"
     assert seen(played(*HOLLOW, spans, breaks="heals never"), "heal: all rolls equal") == NEVER
 
 
+@pytest.mark.few
 def test_a_run_that_grows_over_its_bound_ends_itself_and_leaves_nothing(monkeypatch, tmp_path):
     monkeypatch.setattr(run, "need", lambda made: Need(1, 1.0))
     monkeypatch.setattr("tempfile.tempdir", str(tmp_path))
@@ -342,6 +346,7 @@
     ]
 
 
+@pytest.mark.few
 def test_a_signal_ends_the_run_and_leaves_nothing_and_the_rest_is_told_as_not_run(tmp_path):
     spans = SHORT.replace("rest: 2000", "rest: 60000") + ", cut: 0, heal: 0, restarted: 0}"
     given = [part for one in [*HOLLOW, spans] for part in ("--with", one)]
