--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -46,7 +46,10 @@
     return lay(folder, TESTS, listed, [sys.executable, "-m", "pytest", *PLUGINS, "--known-red", *more])
 
 
-def all_calls(folder: Path, listed: str | None, *tests: tuple[str, str, bool]) -> subprocess.CompletedProcess[str]:
+Done = subprocess.CompletedProcess[str]
+
+
+def all_calls(folder: Path, listed: str | None, *tests: tuple[str, str, bool]) -> Done:
     """All calls over tests, each of a name, a mark and whether it is green."""
     text = "import pytest\n"
     for name, mark, green in tests:
