--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -10,8 +10,6 @@
 from square import ask
 from started import SOCKETS, Started
 
-pytestmark = pytest.mark.alone
-
 
 @pytest.mark.parametrize("crowd", ["rests", "is silent", "sends half"])
 def test_a_crowd_that_fills_every_place_while_discovery_is_down_shuts_nobody_out(tmp_path, crowd):
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -8,14 +8,11 @@
 import sys
 from pathlib import Path
 
-import pytest
 from house import House, run
 from places import release, reserve
 
 from cherrygrade.client import Client, Ok
 
-pytestmark = pytest.mark.alone
-
 ROOT = Path(__file__).parent.parent
 
 OLD = """
