--- a/cherrygrade/gateway/overlay.py
+++ b/cherrygrade/gateway/overlay.py
@@ -85,6 +85,5 @@
 
 
 def needs(keys: list[str]) -> str:
-    """Why keys refuse a text."""
-    why = "comes into force only with a restart, so it is each dispatcher's own file's"
-    return f"{', '.join(keys)}: {why}"[:MOST_TOLD]
+    """Why keys refuse a text: they are each dispatcher's own file's."""
+    return f"needs a restart: {', '.join(keys)}"[:MOST_TOLD]
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -180,10 +180,10 @@
 
 
 WRONG = [
-    ("lines: most: 9", "lines.most: comes into force only with a restart"),
-    ('workloads: read: {soft_ms: 200, deadline_ms: 3000, effect: "tokened"}', "workloads.read.effect: comes"),
-    ("earnings: mean_units: 3", "earnings.mean_units: comes into force only with a restart"),
-    ("place: number: 0", "place.number: comes into force only with a restart"),
+    ("lines: most: 9", "needs a restart: lines.most"),
+    ('workloads: read: {soft_ms: 200, deadline_ms: 3000, effect: "tokened"}', "needs a restart: workloads.read.effect"),
+    ("earnings: mean_units: 3", "needs a restart: earnings.mean_units"),
+    ("place: number: 0", "needs a restart: place.number"),
     ("plans: gold: limit_rate: -1", "plans.gold.limit_rate"),
     ("plans: gold: {limit_rate: 5, limit_depth: 0}", "plans.gold.limit_depth: 0, but limit_rate is set"),
     # As an older program reads what a newer one knows.
