--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -22,6 +22,10 @@
 Form = Literal["json", "console", "none"]
 Given = Annotated[tuple[str, ...], Parameter(name="--with", consume_multiple=False, negative="")]
 
+# Texts are read in a thread beside the event loop, which gets the interpreter back after so long: by its
+# default, 5 ms, each wake of the loop waits that much while a text is read.
+SWITCH_S = 0.0005
+
 app = App(name="cherrygrade", help="A storage gateway: schedules reads and writes over storage nodes.")
 standin = App(name="standin", help="Stand-ins for storage nodes and the register.")
 lab = App(name="lab", help="Scenarios, load and audit on loopback sockets.")
@@ -79,6 +83,7 @@
         from cherrygrade.gateway.overlay import Overlay
 
         overlay = Overlay(file, given, site)
+        sys.setswitchinterval(SWITCH_S)
 
     async def main() -> int:
         make, compiled = dispatcher()
--- a/cherrygrade/gateway/overlay.py
+++ b/cherrygrade/gateway/overlay.py
@@ -15,6 +15,7 @@
 from cherrygrade.records.load import RecordError, laid, names, site_of
 from cherrygrade.site import Site
 
+MOST_READ = 2  # a change and what it is based on: judged, then taken
 MOST_TOLD = 2000  # characters of why a text is refused
 
 
@@ -30,12 +31,20 @@
             raise RecordError([f"{file}: {trouble}"]) from trouble
         if given:
             self._below.append(("given", "\n".join(given)))
+        self._read: dict[str, Site] = {}  # by text; MOST_READ at most
 
     def site(self, text: str) -> Site:
         """Raises RecordError with every fault, each with its key. A dispatcher that is numbered outside of
         the text's place.dispatchers has settings too: it goes on without a part."""
         if not text:
             return self.own
+        found = self._read.get(text)
+        if found is None:
+            found = self._site(text)
+            self._read = dict([*self._read.items(), (text, found)][-MOST_READ:])
+        return found
+
+    def _site(self, text: str) -> Site:
         over = ("configuration", text)
         try:
             return site_of(laid([*self._below, over], "site.rec"))
