lab explore config: a move of parts among three members, whole within bounds; broken ones convicted

Crash, a lost disk, loss, doubling, late answers, a lagging voter, a lying member, with the product's own replica, versions, settling and parts. Convicted when planted: a number that goes back, content without digest, parts that grow before others shrank (both ways), one member's word, one round of proofs, an answer to an earlier question, one that takes itself for sure without its disk.

--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -317,7 +317,7 @@
 
 @lab.command(name="explore")
 def lab_explore(
-    model: Literal["members", "voters", "leases"] = "members",
+    model: Literal["members", "voters", "leases", "config"] = "members",
     *,
     accusations: int = 1,
     crashes: int = 1,
@@ -327,14 +327,22 @@
     proposals: int = 1,
     most: int = 1_000_000,
 ) -> int:
-    """Every state that three members, three voters of the council, or a lease can come to within bounds.
+    """Every state that three members, three voters of the council, a lease, or a version of the configuration
+    that moves parts can come to within bounds (of the last: a list of its own).
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab.exploration import holders, members, voters
+    from cherrygrade.lab.exploration import config, holders, members, voters
     from cherrygrade.lab.exploration.explore import Found, explore
 
-    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now]
+    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now] | Found[config.Now]
+    if model == "config":
+        whole = True
+        for within in config.WHOLE:
+            found = explore(config.Config(within), most)
+            print(f"{within}: {found}", flush=True)
+            whole = whole and found.whole and not found.breach
+        return 0 if whole else 1
     if model == "members":
         bounds = members.Bounds(accusations, crashes, restarts, leaves)
         found = explore(members.Members(bounds), most)
