--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -372,6 +372,16 @@
     return 0 if found.last_ms < float("inf") and not found.wrongly_dead else 1
 
 
+@lab.command(name="spread")
+def lab_spread(*, members: int = 580, changes: int = 200, seed: int = 1, lost: float = 0.05) -> int:
+    """Changes of the configuration in a fleet of two regions, 80 ms apart, by the product's own decisions."""
+    from cherrygrade.lab.virtual.spread import Ways, spread
+
+    found = spread(members, seed, changes, Ways(lost=lost))
+    print(f"{members} members, {lost:.0%} lost: {found}")
+    return 0 if found.last_ms[-1] < 6000.0 else 1
+
+
 @lab.command(name="audit")
 def lab_audit(scenario: Path, folder: Path, *, given: Given = ()) -> int:
     """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
--- a/cherrygrade/lab/virtual/spread.py
+++ b/cherrygrade/lab/virtual/spread.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from statistics import median
 from typing import Any
 
 import msgspec
@@ -290,3 +291,59 @@
         return lambda: all(
             one.stage // 2 >= number for at, one in enumerate(self.replicas) if at not in self.killed
         )
+
+
+@dataclass(slots=True)
+class Figures:
+    """Of so many changes: ms from put to the last, questions that came to a voter and to another member, and
+    fetches across regions; bytes a member for one change beside probes; each by change, sorted."""
+
+    last_ms: list[float]
+    voter_asks: list[int]
+    member_asks: list[int]
+    far_fetches: list[int]
+    change_bytes: list[float]
+
+    def __str__(self) -> str:
+        last = self.last_ms
+        return (
+            f"{len(last)} changes: to the last after {median(last):.0f} ms in the median, "
+            f"{last[int(0.99 * (len(last) - 1))]:.0f} at p99, {last[-1]:.0f} at worst; questions to one "
+            f"voter {median(self.voter_asks):.0f} (worst {self.voter_asks[-1]}), to another member at most "
+            f"{self.member_asks[-1]}; {median(self.far_fetches):.0f} fetches across regions "
+            f"(worst {self.far_fetches[-1]}); {median(self.change_bytes):.0f} bytes a member "
+            f"(worst {self.change_bytes[-1]:.0f})"
+        )
+
+
+def spread(count: int, seed: int, changes: int, ways: Ways = Ways()) -> Figures:
+    """Changes of one line of 400, each two seconds after the one before is in force everywhere. TimeoutError
+    where one is not within 20 s."""
+    fleet, found = Spread(count, seed, ways), Figures([], [], [], [], [])
+    text = "".join(f"plans: p{at}: limit_rate: {at}\n" for at in range(400))
+    fleet.run(1000.0)
+    fleet.put(text)
+    fleet.run(20_000.0, fleet.all_on(1))
+    fleet.run(3000.0)
+    for change in range(changes):
+        asked, far = fleet.asked.copy(), fleet.far_fetches
+        fleet.bytes.clear()
+        number = fleet.put(text.replace("rate: 7\n", f"rate: {1000 + change}\n"))
+        if not fleet.run(20_000.0, fleet.all_on(number)):
+            raise TimeoutError(f"version {number} is in force at {len(fleet.on(number))} of {count}")
+        found.last_ms.append(max(fleet.in_force_at[number].values()) - fleet.put_at[number])
+        fleet.run(2000.0)
+        asks = fleet.asked - asked
+        found.voter_asks.append(max(asks[at] for at in fleet.voters))
+        found.member_asks.append(max(asks[at] for at in range(count) if at not in fleet.voters))
+        found.far_fetches.append(fleet.far_fetches - far)
+        found.change_bytes.append(sum(sum(one.values()) for one in fleet.bytes.values()) / count)
+    for figures in (
+        found.last_ms,
+        found.voter_asks,
+        found.member_asks,
+        found.far_fetches,
+        found.change_bytes,
+    ):
+        figures.sort()
+    return found
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from cherrygrade.cli import app
 from cherrygrade.fleet.config.replica import Kept
 from cherrygrade.fleet.config.versions import Divisors
 from cherrygrade.lab.virtual.spread import Spread
@@ -215,3 +216,9 @@
         fleet.run(5000.0)
         days.append((fleet.in_force_at, fleet.pages, fleet.bytes))
     assert days[0] == days[1]
+
+
+def test_the_command_tells_its_figures(capsys: pytest.CaptureFixture[str]) -> None:
+    assert app(["lab", "spread", "--members", "40", "--changes", "3"], result_action="return_value") == 0
+    told = capsys.readouterr().out
+    assert told.startswith("40 members, 5% lost: 3 changes: to the last after ") and "bytes a member" in told
