--- a/benchmarks/fleet_config_service.py
+++ b/benchmarks/fleet_config_service.py
@@ -1,10 +1,9 @@
 """What changes of the fleet's configuration cost the RPCs that go on meanwhile: service and p99, in pairs of
 windows side by side, one with twenty changes a minute and one with none.
 
-Two dispatchers, one of them the council's only voter and so its leader: it judges each text and takes it, the
-other only takes it. Each has 100 volumes, and each text names 100 plans anew. Reads at 517 a second, the
-mean of a dispatcher of the fleet that the design is for. Prints a line a pair, and the mean p99 by window; no
-bar.
+Three dispatchers, all of them voters: the leader judges each text and takes it, the others only take it. Each
+has 100 volumes, and each text names 100 plans anew. Reads at 517 a second, the mean of a dispatcher of the
+fleet that the design is for. Prints a line a pair, and the mean p99 by window; no bar.
 """
 
 from __future__ import annotations
@@ -15,6 +14,7 @@
 import statistics
 import subprocess
 import sys
+from typing import Any
 
 from bench import SITE, Rig, Tally, cpu_s, open_loop, read_rpc
 
@@ -22,36 +22,37 @@
 from cherrygrade.fleet.carriers.disk import found
 from cherrygrade.fleet.carriers.operator import Put, fresh_id, visit
 
+NAMES = ["d0", "d1", "d2"]
 PER_S, EVERY_S, VOLUMES, NODES = 517.0, 3.0, 100, 3
 
 
 class Pair(Rig):
-    """A leader and a member of one fleet, before the same nodes."""
+    """Three of one fleet, before the same nodes."""
 
-    def both(self) -> list[tuple[str, int, subprocess.Popen[str], str]]:
+    def fleet(self) -> list[tuple[str, int, subprocess.Popen[str], str]]:
         """Name, port, process, place of each."""
         place = {}
-        for name in ("leader", "member"):
+        for name in NAMES:
             with socket.create_server(("127.0.0.1", 0)) as free:
                 place[name] = f"127.0.0.1:{free.getsockname()[1]}"
-        store = self.folder / "store"
-        found(store, "bench", "leader", ["leader"])
+        for name in NAMES:
+            found(self.folder / name, "bench", name, NAMES)
         made = []
         plans = {f"p{at}": {"usual_rate": 1000, "limit_rate": 0} for at in range(VOLUMES)}
         volumes = {
-            f"v{at}": {"plan": {"name": f"p{at}"} | plans[f"p{at}"], "hosts": 2} for at in range(VOLUMES)
+            f"v{at}": {"plan": {"name": f"p{at}"} | plans[f"p{at}"], "hosts": 3} for at in range(VOLUMES)
         }
         for number, name in enumerate(place):
             site = SITE | {
                 "place": {
                     "name": name, "listen": "127.0.0.1:0", "register": f"127.0.0.1:{self.register[0]}",
-                    "number": number, "dispatchers": 2,
+                    "number": number, "dispatchers": 3,
                 },
                 "volumes": SITE["volumes"] | volumes,
                 "fleet": {
                     "name": "bench", "place": place[name], "contacts": [*place.values()],
                     "config_file": str(self.folder / f"kept-{name}"),
-                    "council": {"voters": ["leader"], "folder": str(store)},
+                    "council": {"voters": NAMES, "folder": str(self.folder / name)},
                 },
             }  # fmt: skip
             file = self.folder / f"{name}.rec"
@@ -65,7 +66,7 @@
 def text(turn: int) -> str:
     """A change of each volume's plan."""
     volumes = {
-        f"v{at}": {"plan": {"name": f"p{at}", "usual_rate": 1000 + turn}, "hosts": 2} for at in range(VOLUMES)
+        f"v{at}": {"plan": {"name": f"p{at}", "usual_rate": 1000 + turn}, "hosts": 3} for at in range(VOLUMES)
     }
     return json.dumps({"volumes": volumes})
 
@@ -90,11 +91,11 @@
             await asyncio.sleep(EVERY_S)
 
 
-async def whole(place: str) -> dict[str, object]:
-    """Once it knows the other and what the fleet is on."""
+async def whole(place: str) -> dict[str, Any]:
+    """Once it knows the others and what the fleet is on."""
     for _ in range(200):
         told = await ask(place)
-        if told["living"] == 2 and told["config"]["sure"]:
+        if told["living"] == 3 and told["config"]["sure"] and told["council"]["leader"]:
             return told
         await asyncio.sleep(0.1)
     raise SystemExit(f"{place} is alone, or not sure: {told}")
@@ -105,13 +106,14 @@
     rig = Pair(nodes=NODES)
     lost = 0
     try:
-        both = rig.both()
+        fleet = rig.fleet()
         await rig.list_nodes()
-        for _, _, _, place in both:
-            await whole(place)
-        changes = Changes(both[0][3])
+        led = [(await whole(place))["council"]["leader"] for *_, place in fleet][-1]
+        leads = next(one for one in fleet if one[0] == led)
+        follows = next(one for one in fleet if one[0] != led)
+        changes = Changes(leads[3])
         task = asyncio.get_running_loop().create_task(changes.run())
-        for name, port, process, place in both:
+        for name, (_, port, process, place) in (("leader", leads), ("member", follows)):
             p99s: dict[bool, list[float]] = {False: [], True: []}
             for turn in range(pairs):
                 line = []
