--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -75,3 +75,23 @@
     assert [one.body for one in noisy.found] == [b"ab"] and noisy.fault is not None
     endless = read(b"HTTP/1.1 200 OK\r\n\r\nabc", True)
     assert not endless.found and endless.within
+
+
+@pytest.mark.parametrize(
+    "head, expects",
+    [
+        (b"HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", True),
+        (b"HTTP/1.1\r\nExpect: 100-Continue\r\nTransfer-Encoding: chunked\r\n\r\n", True),
+        (b"HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nz", False),  # it comes already
+        (b"HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n", False),
+        (b"HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n", False),  # its head is not whole
+        (b"HTTP/1.1\r\nExpect: 100-continued\r\nContent-Length: 1\r\n\r\n", False),
+        (b"HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\n", False),  # it is refused
+        (b"HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", False),  # knows no interim answers
+    ],
+)
+@pytest.mark.parametrize("piece", [1, 10**9])
+def test_only_who_waits_for_the_word_is_told_to_go_on_and_once(head, expects, piece):
+    reader = read(b"PUT /a " + head, piece=piece)
+    assert reader.take_expectation() is expects
+    assert not reader.take_expectation()
