--- a/cherrygrade/lab/capacity/page.py
+++ b/cherrygrade/lab/capacity/page.py
@@ -117,6 +117,18 @@
     return number(seen.figure) + (f" (x{seen.beyond:.2g} beyond)" if seen.extrapolated else "")
 
 
+def cell(line: Line) -> str:
+    """Figure and verdict at target; where that was not run, what the largest size gave and its verdict."""
+    seen = line.target()
+    if seen is not None:
+        return f"{told(seen)} {line.verdict(seen)}".removesuffix(f" {NO_BUDGET}")
+    if not line.points:
+        return NOT_RUN
+    last = line.points[-1]
+    verdict = line.verdict(Seen(last.mean, 1.0))
+    return f"{NOT_RUN}; at {number(last.size)} {number(last.mean)} {verdict}".removesuffix(f" {NO_BUDGET}")
+
+
 def named(row: Row) -> str:
     """The quantity and its unit, where that says more."""
     return row.what if row.unit in ("", row.what) else f"{row.what}, {row.unit}"
@@ -129,7 +141,8 @@
     few = "" if len(slope.points) >= ENOUGH else f", **{len(slope.points)} sizes only**"
     bend = f"; **bends**: {number(slope.first)}, then {number(slope.last)}" if slope.bends else ""
     off = f"off the line {number(slope.residual)}"
-    return f"{number(slope.base)} + {number(slope.per)} each ({off}{few}){bend}"
+    sign = "-" if slope.per < 0.0 else "+"
+    return f"{number(slope.base)} {sign} {number(abs(slope.per))} each ({off}{few}){bend}"
 
 
 def spans(line: Line) -> str:
@@ -214,8 +227,7 @@
         cells = []
         for when in target.faults if row.faults else []:
             line = drawn_from(row, reports, when, worst=True)
-            seen = line.target()
-            cells.append(f"{told(seen)} {line.verdict(seen)}" if seen is not None else NOT_RUN)
+            cells.append(cell(line))
             _reach(line, when, first)
         if cells:
             faults.append((row, cells))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -279,6 +279,12 @@
     assert "not run at 1,200" in drawn["roles"]
 
 
+def test_a_fault_that_was_not_run_at_target_tells_its_largest_size() -> None:
+    told = sizes((40, 400), (120, 500), when="one dead", worst=3500.0)
+    row = next(line for line in tables(TARGET, told)["faults"].splitlines() if "dispatcher control" in line)
+    assert row.endswith("| 3,000 | not run; at 120 3,500 **over** | not run |")
+
+
 def test_what_passes_its_budget_first_stands_first() -> None:
     told = sizes((40, 400), (580, 5800)) + sizes((40, 4000), (580, 5000), when="one dead", worst=4000.0)
     rows = [line for line in tables(TARGET, told)["first"].splitlines() if "dispatcher control" in line]
