--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -22,17 +22,24 @@
 Form = Literal["json", "console", "none"]
 Given = Annotated[tuple[str, ...], Parameter(name="--with", consume_multiple=False, negative="")]
 
+# Texts are read in a thread beside the event loop, which gets the interpreter back after so long: by its
+# default, 5 ms, each wake of the loop waits that much while a text is read.
+SWITCH_S = 0.0005
+
 app = App(name="cherrygrade", help="A storage gateway: schedules reads and writes over storage nodes.")
 standin = App(name="standin", help="Stand-ins for storage nodes and the register.")
 lab = App(name="lab", help="Scenarios, load and audit on loopback sockets.")
 fleet = App(name="fleet", help="Dispatchers that know each other: who is there, and what they take it for.")
+config = App(name="config", help="The fleet's one configuration, over each dispatcher's own file.")
 app.command(fleet)
+fleet.command(config)
 app.command(standin)
 app.command(lab)
 
 
 def origin_of(site: Site) -> Origin:
-    """This life, for the fleet."""
+    """This life, for the fleet. Settings are marked as the own file has them: what the fleet's configuration
+    lays over them is told by its number, and a change of it is news of nobody's file."""
     from importlib.metadata import PackageNotFoundError, version
 
     try:
@@ -71,6 +78,13 @@
     from cherrygrade.gateway.process import Gateway
     from cherrygrade.logs import make_log
 
+    overlay = None
+    if site.fleet is not None and site.fleet.council is not None:
+        from cherrygrade.gateway.overlay import Overlay
+
+        overlay = Overlay(file, given, site)
+        sys.setswitchinterval(SWITCH_S)
+
     async def main() -> int:
         make, compiled = dispatcher()
         told = make_log(log, dispatcher=site.place.name)
@@ -88,6 +102,7 @@
             site.words.places,
             site.fleet,
             origin_of(site),
+            overlay,
         )
         return await run(gateway, lambda port: print(f"listening {port}", flush=True))
 
@@ -180,6 +195,53 @@
     return 0
 
 
+At = Annotated[str, Parameter(name="--at")]
+
+
+@config.command(name="put")
+def config_put(file: Path, *, at: At = "127.0.0.1:7500") -> int:
+    """Make the record text in FILE the fleet's configuration, laid over each dispatcher's own file.
+
+    Exit code 0: agreed, and told by its number; 1: refused, with why; 2: FILE or arguments are wrong, nobody
+    was asked; 3: no dispatcher answers at AT (its fleet.place), or no majority of the council does.
+    """
+    from cherrygrade.fleet.carriers.operator import put
+
+    return put(file, at)
+
+
+@config.command(name="show")
+def config_show(number: int = 0, *, at: At = "127.0.0.1:7500") -> int:
+    """Show the versions that are kept, the newest last, and what is in force at AT; with NUMBER its text.
+
+    Exit code 0: as the council has it; 1: NUMBER is not kept; 2: arguments are wrong; 3: nobody answers at
+    AT, or no majority of the council (what is in force at AT is shown then too).
+    """
+    from cherrygrade.fleet.carriers.operator import show
+
+    return show(number, at)
+
+
+@config.command(name="wait")
+def config_wait(number: int, *, at: At = "127.0.0.1:7500", within_s: float = 60.0) -> int:
+    """Wait until version NUMBER, or a later one, is in force at all that live, and settled; tell who is
+    missing and why.
+
+    Exit code 0: it is; 1: not within so many seconds; 2: arguments are wrong; 3: nobody answers at AT.
+    """
+    from cherrygrade.fleet.carriers.operator import wait
+
+    return wait(number, at, within_s)
+
+
+@config.command(name="back")
+def config_back(number: int, *, at: At = "127.0.0.1:7500") -> int:
+    """Put the text of version NUMBER again, as a new version. Exit codes as for put."""
+    from cherrygrade.fleet.carriers.operator import back
+
+    return back(number, at)
+
+
 @standin.command(name="receiver")
 def standin_receiver(record: Path, *, listen: str = "127.0.0.1:0", numbered: bool = True) -> None:
     """Carry out orders of leases' holders and record them; without numbers, whatever comes."""
@@ -317,7 +379,7 @@
 
 @lab.command(name="explore")
 def lab_explore(
-    model: Literal["members", "voters", "leases"] = "members",
+    model: Literal["members", "voters", "leases", "config"] = "members",
     *,
     accusations: int = 1,
     crashes: int = 1,
@@ -327,14 +389,22 @@
     proposals: int = 1,
     most: int = 1_000_000,
 ) -> int:
-    """Every state that three members, three voters of the council, or a lease can come to within bounds.
+    """Every state that three members, three voters of the council, a lease, or a version of the configuration
+    that moves parts can come to within bounds (of the last: a list of its own).
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab.exploration import holders, members, voters
+    from cherrygrade.lab.exploration import config, holders, members, voters
     from cherrygrade.lab.exploration.explore import Found, explore
 
-    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now]
+    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now] | Found[config.Now]
+    if model == "config":
+        whole = True
+        for within in config.WHOLE:
+            found = explore(config.Config(within), most)
+            print(f"{within}: {found}", flush=True)
+            whole = whole and found.whole and not found.breach
+        return 0 if whole else 1
     if model == "members":
         bounds = members.Bounds(accusations, crashes, restarts, leaves)
         found = explore(members.Members(bounds), most)
--- a/cherrygrade/lab/scale/report.py
+++ b/cherrygrade/lab/scale/report.py
@@ -3,22 +3,40 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import psutil
 
 from cherrygrade.lab.scale import sums
-from cherrygrade.lab.scale.judge import Promise
-from cherrygrade.lab.scale.plan import need
-from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase
-
-if TYPE_CHECKING:
-    from cherrygrade.lab.scale.run import Run
+from cherrygrade.lab.scale.plan import Need, Scale, Step, need
+from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase, Promise, Seen
 
 MIB = 1024 * 1024
 
 
+class Named(Protocol):
+    name: str
+
+
+class Run(Protocol):
+    """What a run came to, as far as it is reported; by moment, member or process where it is a dict."""
+
+    scale: Scale
+    steps: list[Step]
+    phases: dict[str, Phase]
+    asked: dict[str, dict[str, dict[str, Any]]]
+    facts: dict[str, Any]
+    seen: dict[str, list[Seen]]
+    most: Need
+    cut_short: str
+
+    @property
+    def bare(self) -> Sequence[Named]:
+        """Processes of dispatchers without a fleet."""
+
+
 def made(
     run: Run,
     command: str,
@@ -41,6 +59,7 @@
         figures += at_rest(run, rest)
     if loaded in played and loaded is not None:
         figures += under_load(run, loaded)
+    judged = sums.judged(promises, kept, {*run.phases})
     missed = [step.when for step in run.steps if step.when not in run.phases]
     notes = {step.when: step.note for step in run.steps if step.note}
     notes |= {when: "not run" for when in missed}
@@ -66,8 +85,8 @@
         "hollow_against_real": compared(run, results, rest) if rest in played else "not measured",
         "load": run.facts.get("load", {}),
         "figures": [one.told() for one in figures],
-        "promises": [one.told() for one in promises if not one.part or one.part in kept],
-        "promises_not_measured": [one.told() for one in promises if one.part and one.part not in kept],
+        "promises": [one.told() for one in promises if one in judged],
+        "promises_not_measured": [one.told() for one in promises if one not in judged],
     }
 
 
--- a/cherrygrade/platform/clients.py
+++ b/cherrygrade/platform/clients.py
@@ -11,11 +11,12 @@
 from typing import Protocol
 
 from cherrygrade.held import Held
-from cherrygrade.http.reader import Fault, Message, Reader, closes
-from cherrygrade.http.writer import answer
+from cherrygrade.http.reader import Fault, Message, Reader, Room, closes, connection_options
+from cherrygrade.http.writer import GO_ON, answer
 from cherrygrade.interface import Plan, Workload
 
 MOST_KEPT = 16 * 1024  # read ahead of an open RPC, so that a close behind it is noticed
+PIECE_MS = 20.0  # what is read ahead within this counts as come with the first of it
 HIGH = 128 * 1024  # of answers that the client does not take: nothing more is begun for it
 # Behind our end of a connection what still comes is read and dropped until the client ends its side: closing
 # over unread bytes resets the connection, and an answer that the client has not read yet goes with it.
@@ -48,7 +49,7 @@
 
 
 def _passes_on(fields: dict[bytes, bytes]) -> tuple[tuple[bytes, bytes], ...]:
-    named = {name.strip().lower() for name in fields.get(b"connection", b"").split(b",")}
+    named = connection_options(fields)
     return tuple(field for field in fields.items() if field[0] not in OWN and field[0] not in named)
 
 
@@ -118,6 +119,10 @@
     def ready(self) -> bool:
         """Clients may come."""
 
+    @property
+    def long_requests(self) -> Room:
+        """What long bodies share."""
+
     @property
     def buffer(self) -> memoryview:
         """Shared by all: what is read into it is taken out at once."""
@@ -155,13 +160,18 @@
         """When it came, or when the last answer went, or when the message within began."""
         self.ended = False
         """Nothing of it is begun any more: what comes is dropped."""
-        self._reader = Reader(answers=False)
+        self._reader = Reader(answers=False, room=owner.long_requests)
+        self._asked: Message | None = None  # what is open; its body has room until the answer
         self._queue: deque[Message] = deque()
-        self._kept = bytearray()
+        self._kept: deque[tuple[float, bytearray]] = deque()
+        """Read ahead, in pieces with when each came: an RPC's time runs from its last byte, not from when
+        those before it were done."""
+        self._kept_bytes = 0
         self._dropped = 0
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._paused = self._looking = False
+        self._closes = False  # the client wants no more behind the answer
 
     # What the event loop calls.
 
@@ -183,12 +193,12 @@
                 self.cut()
             return
         data = bytes(self.owner.buffer[:nbytes])
-        if self.open is not None or self._queue:
-            self._kept += data
-            if len(self._kept) >= MOST_KEPT and self._transport is not None:
+        if self.open is not None or self._queue or self._kept:  # in the order in which it came
+            self._keep(data)
+            if self._kept_bytes >= MOST_KEPT and self._transport is not None:
                 self._transport.pause_reading()
             return
-        self._feed(data)
+        self._feed(data, self.owner.clock())
         self._look()
 
     def eof_received(self) -> bool:
@@ -209,11 +219,22 @@
         pending, self.open = self.open, None
         if pending is not None:
             self.owner.left(pending)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """What was open holds no body any more."""
+        if self._asked is not None:
+            self.owner.long_requests.let_go(self._asked)
+            self._asked = None
 
     def _stop(self) -> None:
         self.ended = True
+        for message in self._queue:
+            self.owner.long_requests.let_go(message)
         self._queue.clear()
+        self._reader.let_go()
         self._kept.clear()
+        self._kept_bytes = 0
         self.quiet_from = self.owner.clock()
 
     def look_gone(self) -> bool:
@@ -263,8 +284,9 @@
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
         """The final answer of the RPC that is open."""
-        close = close or self.owner.closing
+        close = close or self._closes or self.owner.closing
         self.open = None
+        self._let_go()
         self.quiet_from = self.owner.clock()
         if self._transport is None or self.ended:
             return
@@ -310,14 +332,23 @@
 
     # Its own.
 
-    def _feed(self, data: bytes) -> None:
-        reader, now = self._reader, self.owner.clock()
+    def _keep(self, data: bytes) -> None:
+        now = self.owner.clock()
+        self._kept_bytes += len(data)
+        if self._kept and now - self._kept[-1][0] < PIECE_MS:
+            self._kept[-1][1].extend(data)
+        else:
+            self._kept.append((now, bytearray(data)))
+
+    def _feed(self, data: bytes, came: float) -> None:
+        """`came`: when these bytes did, ms."""
+        reader = self._reader
         began = reader.within
         reader.feed(data)
         if not began and reader.within:
-            self.quiet_from = now
+            self.quiet_from = self.owner.clock()
         for message in reader.found:
-            message.begun = now
+            message.begun = came
             self._queue.append(message)
         reader.found.clear()
 
@@ -331,13 +362,16 @@
                 if self._queue:
                     self._begin(self._queue.popleft())
                 elif self._kept:
-                    data, self._kept = bytes(self._kept), bytearray()
+                    came, data = self._kept.popleft()
+                    self._kept_bytes -= len(data)
                     if self._transport is not None and not self._transport.is_reading():
                         self._transport.resume_reading()
-                    self._feed(data)
+                    self._feed(bytes(data), came)
                 elif self._reader.fault is not None:
                     self._refuse(self._reader.fault)
                 else:
+                    if self._reader.take_expectation() and self._transport is not None:
+                        self._transport.write(GO_ON)
                     break
         finally:
             self._looking = False
@@ -349,8 +383,9 @@
     def _begin(self, message: Message) -> None:
         self.spoken = True
         self.owner.spoke(self)
+        self._asked, self._closes = message, closes(message)
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200 if self.owner.ready else 503, close=closes(message))
+            self.answer(200 if self.owner.ready else 503)
             return
         try:
             self.open = self.owner.ask(self, message)
