--- a/cherrygrade/lab/capacity/page.py
+++ b/cherrygrade/lab/capacity/page.py
@@ -72,7 +72,7 @@
     best = max(series, key=lambda key: (len({p.size for p in series[key][0]}), [value for _, value in key]))
     points, names = series[best]
     found = pooled(points)
-    return Line(row, fit(found) if len(found) > 1 else None, found, best, names)
+    return Line(row, fit(found, spread_known=not worst) if len(found) > 1 else None, found, best, names)
 
 
 def _of(row: Row, figure: Figure, when: str) -> bool:
@@ -110,18 +110,25 @@
     return f"{'in part' if report.any_counts else '**no**'}: {report.measured}"
 
 
-def told(seen: Seen | None) -> str:
-    """A figure; where it lies beyond what was run, by how much."""
+def told(seen: Seen | None, sizes: int = ENOUGH) -> str:
+    """A figure; where it lies beyond what was run, by how much, and whether that was few sizes."""
     if seen is None:
         return NOT_RUN
-    return number(seen.figure) + (f" (x{seen.beyond:.2g} beyond)" if seen.extrapolated else "")
+    if not seen.extrapolated:
+        return number(seen.figure)
+    few = f" {sizes} sizes" if sizes < ENOUGH else ""
+    return f"{number(seen.figure)} (x{seen.beyond:.2g} beyond{few})"
+
+
+def told_at(line: Line, times: float = 1.0) -> str:
+    return told(line.target(times), len(line.points))
 
 
 def cell(line: Line) -> str:
     """Figure and verdict at target; where that was not run, what the largest size gave and its verdict."""
     seen = line.target()
     if seen is not None:
-        return f"{told(seen)} {line.verdict(seen)}".removesuffix(f" {NO_BUDGET}")
+        return f"{told_at(line)} {line.verdict(seen)}".removesuffix(f" {NO_BUDGET}")
     if not line.points:
         return NOT_RUN
     last = line.points[-1]
@@ -179,7 +186,7 @@
 {% for line in lines[role] -%}
 | {{ named(line.row) }}{{ " (" ~ line.row.note ~ ")" if line.row.note }} \
 | {{ line.row.over }} | {{ sloped(line) }} | {{ spans(line) }} \
-| {{ told(line.target()) }} at {{ number(line.row.at) }} \
+| {{ told_at(line) }} at {{ number(line.row.at) }} \
 | {{ number(line.row.budget) ~ " (" ~ line.row.budget_by ~ ")" if line.row.budget is not none else "none" }} \
 | {{ line.verdict(line.target()) }}{{ ": " ~ line.row.carried if line.row.carried }} \
 | `{{ line.row.mechanism }}` | {{ line.reports | map("replace", ".json", "") | join(", ") or "-" }} |
@@ -210,7 +217,7 @@
 | --- | --- | --- | --- | --- | --- |
 {% for line in budgeted -%}
 | {{ line.row.role }} | {{ named(line.row) }}, over {{ line.row.over }} \
-| {{ told(line.target()) }} | {{ told(line.target(2.0)) }} | {{ number(line.row.budget) }} \
+| {{ told_at(line) }} | {{ told_at(line, 2.0) }} | {{ number(line.row.budget) }} \
 | {{ line.verdict(line.target(2.0)) }} |
 {% endfor %}""",
 }
@@ -243,7 +250,7 @@
             line for some in lines.values() for line in some if line.row.budget is not None and line.points
         ],
         "number": number,
-        "told": told,
+        "told_at": told_at,
         "named": named,
         "sloped": sloped,
         "spans": spans,
@@ -288,6 +295,7 @@
     if size > 2.0 * line.row.at or (size > line.points[-1].size and len(line.points) < LEAST):
         return
     beyond = size / line.slope.points[-1].size
+    under = " or fewer" if line.slope.points[0].mean > line.row.budget else ""
     first.append(
         (
             size / line.row.at,
@@ -295,7 +303,7 @@
                 "role": line.row.role,
                 "what": named(line.row),
                 "when": when,
-                "reach": number(size) + (f" (x{beyond:.2g} beyond)" if beyond > 1.0 else ""),
+                "reach": number(size) + under + (f" (x{beyond:.2g} beyond)" if beyond > 1.0 else ""),
                 "over": line.row.over,
                 "at": number(line.row.at),
                 "reports": ", ".join(name.removesuffix(".json") for name in line.reports),
--- a/cherrygrade/lab/capacity/slopes.py
+++ b/cherrygrade/lab/capacity/slopes.py
@@ -73,8 +73,9 @@
     ]
 
 
-def fit(points: Iterable[Point]) -> Slope:
-    """The line of least squares; TooFew under two sizes."""
+def fit(points: Iterable[Point], spread_known: bool = True) -> Slope:
+    """The line of least squares; TooFew under two sizes. Where the spread is not known (single seconds of
+    single runs) it is not said to bend."""
     found = pooled(points)
     if len(found) < 2:
         raise TooFew(f"a line through {len(found)} sizes is wanted")
@@ -88,7 +89,8 @@
     first, apart = _between(found[0], found[1])
     last, more = _between(found[-2], found[-1])
     spread = apart + more
-    bends = len(found) > 2 and abs(last - first) > max(spread, SEEN_BEND * max(abs(first), abs(last)))
+    differ = abs(last - first) > max(spread, SEEN_BEND * max(abs(first), abs(last)))
+    bends = spread_known and len(found) > 2 and differ
     return Slope(tuple(found), per, base, residual, first, last, spread, bends)
 
 
@@ -100,7 +102,8 @@
 
 def at(slope: Slope, size: float) -> Seen:
     """The figure at a size: as run, else between the nearest two, else beyond the last by the line; where
-    that bends, by the last interval's slope from the last point on. Never under 0."""
+    that bends, by the last interval's slope from the last point on. Never less than the last: that one
+    more costs less than nothing is noise."""
     points = slope.points
     for one in points:
         if one.size == size:
@@ -111,8 +114,10 @@
         return Seen(low.mean + (high.mean - low.mean) / (high.size - low.size) * (size - low.size), 1.0)
     last = points[-1]
     if slope.bends:
-        return Seen(max(0.0, last.mean + slope.last * (size - last.size)), size / last.size)
-    return Seen(max(0.0, slope.base + slope.per * size), size / last.size)
+        figure = last.mean + slope.last * (size - last.size)
+    else:
+        figure = slope.base + slope.per * size
+    return Seen(max(last.mean, figure), size / last.size)
 
 
 def reaches(slope: Slope, budget: float) -> float:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -84,6 +84,18 @@
     assert reaches(slope, beyond) == pytest.approx(80.0)
 
 
+def test_what_falls_is_taken_for_even() -> None:
+    assert at(fit(points((10, 30), (20, 29), (40, 20))), 400.0) == Seen(20.0, 10.0)
+    assert at(fit(points((10, 30), (20, 30), (40, 20))), 400.0).figure == 20.0
+
+
+def test_without_a_known_spread_nothing_is_said_to_bend() -> None:
+    grows = points((10, 10), (20, 20), (40, 60), (80, 180))
+    assert fit(grows).bends and not fit(grows, spread_known=False).bends
+    line = fit(grows, spread_known=False)
+    assert at(line, 160.0).figure == pytest.approx(line.base + line.per * 160.0)
+
+
 def test_where_a_budget_is_passed() -> None:
     slope = fit(points((10, 20), (20, 40), (40, 80)))
     assert reaches(slope, 60.0) == pytest.approx(30.0)
@@ -252,7 +264,7 @@
     seen = line.target()
     assert seen is not None and seen.figure == pytest.approx(1450.0) and seen.beyond == pytest.approx(1.45)
     assert line.verdict(seen) == "within"
-    assert told(seen) == "1,450 (x1.4 beyond)"
+    assert told(seen, 4) == "1,450 (x1.4 beyond)" and told(seen, 3) == "1,450 (x1.4 beyond 3 sizes)"
 
 
 def test_verdicts() -> None:
@@ -289,7 +301,7 @@
     told = sizes((40, 400), (580, 5800)) + sizes((40, 4000), (580, 5000), when="one dead", worst=4000.0)
     rows = [line for line in tables(TARGET, told)["first"].splitlines() if "dispatcher control" in line]
     assert [row.split(" | ")[2] for row in rows] == ["one dead", "rest"]
-    assert "| 300 dispatchers |" in rows[1]
+    assert "| 300 dispatchers |" in rows[1] and "| 40 or fewer dispatchers |" in rows[0]
 
 
 @pytest.mark.parametrize(
