--- a/cherrygrade/cli.py
+++ b/cherrygrade/cli.py
@@ -374,7 +374,7 @@
 
 @lab.command(name="explore")
 def lab_explore(
-    model: Literal["members", "voters", "leases"] = "members",
+    model: Literal["members", "voters", "leases", "config"] = "members",
     *,
     accusations: int = 1,
     crashes: int = 1,
@@ -384,14 +384,22 @@
     proposals: int = 1,
     most: int = 1_000_000,
 ) -> int:
-    """Every state that three members, three voters of the council, or a lease can come to within bounds.
+    """Every state that three members, three voters of the council, a lease, or a version of the configuration
+    that moves parts can come to within bounds (of the last: a list of its own).
 
     Exit code 0 only if nothing wrong was found and nothing left out.
     """
-    from cherrygrade.lab.exploration import holders, members, voters
+    from cherrygrade.lab.exploration import config, holders, members, voters
     from cherrygrade.lab.exploration.explore import Found, explore
 
-    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now]
+    found: Found[members.Now] | Found[voters.Now] | Found[holders.Now] | Found[config.Now]
+    if model == "config":
+        whole = True
+        for within in config.WHOLE:
+            found = explore(config.Config(within), most)
+            print(f"{within}: {found}", flush=True)
+            whole = whole and found.whole and not found.breach
+        return 0 if whole else 1
     if model == "members":
         bounds = members.Bounds(accusations, crashes, restarts, leaves)
         found = explore(members.Members(bounds), most)
@@ -421,6 +429,16 @@
     return 0 if found.last_ms < float("inf") and not found.wrongly_dead else 1
 
 
+@lab.command(name="spread")
+def lab_spread(*, members: int = 580, changes: int = 200, seed: int = 1, lost: float = 0.05) -> int:
+    """Changes of the configuration in a fleet of two regions, 80 ms apart, by the product's own decisions."""
+    from cherrygrade.lab.virtual.spread import Ways, spread
+
+    found = spread(members, seed, changes, Ways(lost=lost))
+    print(f"{members} members, {lost:.0%} lost: {found}")
+    return 0 if found.last_ms[-1] < 6000.0 else 1
+
+
 @lab.command(name="audit")
 def lab_audit(scenario: Path, folder: Path, *, given: Given = ()) -> int:
     """Judge a day that was played before from its records. Exit code 0 only if every rule held."""
