--- a/cherrygrade/lab/scale/plan.py
+++ b/cherrygrade/lab/scale/plan.py
@@ -44,6 +44,8 @@
 
     late_p99_ms: float
     late_worst_ms: float
+    late_disk_ms: float
+    """Of a small write to the disk: beyond it nothing is said of tasks that wait for voters' disks."""
     most_processes: int
     memory_part: float
 
