Scale run: a folder that is kept is emptied first, so that an earlier run's counts are none of this one's

Seen: a second run into one folder ended at a council's store that was there, and would have added the hosts' counts of a larger one before.

--- a/cherrygrade/lab/scale/run.py
+++ b/cherrygrade/lab/scale/run.py
@@ -23,7 +23,7 @@
 
 from cherrygrade.fleet.carriers.ask import ask
 from cherrygrade.fleet.carriers.disk import found
-from cherrygrade.lab.rig.run import free_places
+from cherrygrade.lab.rig.run import empty, free_places
 from cherrygrade.lab.scale import judge, report, sums
 from cherrygrade.lab.scale.errors import HostEnded, NotWhole
 from cherrygrade.lab.scale.host import FLEET, Told, fleet_of
@@ -476,7 +476,7 @@
     """Play it and give the report. TooLarge before or while it runs; NotWhole; HostEnded. `keep`: where the
     records stay; else nothing does."""
     folder = keep or Path(tempfile.mkdtemp(prefix="cherrygrade-scale-"))
-    folder.mkdir(parents=True, exist_ok=True)
+    empty(folder)
     memory = None
     if MEMORY.is_dir() and os.access(MEMORY, os.W_OK):
         memory = Path(tempfile.mkdtemp(prefix=f"cherrygrade-scale-{os.getpid()}-", dir=MEMORY))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -353,6 +353,16 @@
 
 
 @pytest.mark.few
+def test_what_a_run_before_left_in_its_folder_is_no_part_of_this_one(tmp_path):
+    (tmp_path / "council-d0").mkdir()
+    for name in ("host-7.result", "host-7.ways", "council-d0/council.mdb"):
+        (tmp_path / name).write_bytes(b"old")
+    spans = SHORT.replace("rest: 2000", "rest: 1500") + ", cut: 0, heal: 0, restarted: 0}"
+    run.play(scale("dispatchers: 4", *HOLLOW, spans), "test", keep=tmp_path)
+    assert not [*tmp_path.glob("host-7.*")] and not (tmp_path / "council-d0").exists()
+    assert (tmp_path / "host-0.result").exists()
+
+
 def test_a_run_that_grows_over_its_bound_ends_itself_and_leaves_nothing(monkeypatch, tmp_path):
     monkeypatch.setattr(run, "need", lambda made: Need(1, 1.0))
     monkeypatch.setattr("tempfile.tempdir", str(tmp_path))
