--- a/cherrygrade/lab/scale/run.py
+++ b/cherrygrade/lab/scale/run.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -316,12 +317,11 @@
         await self._ask(f"{step.when} begins")
         phase = Phase(step.when, self.now(), 0.0)
         psutil.cpu_percent()
-        ours = self._ours()
         await self._fault(step)
         await asyncio.sleep(max(0.0, (phase.begun + step.for_ms - self.now()) / 1000.0))
         phase.ended = self.now()
         cores, took = psutil.cpu_count() or 1, (phase.ended - phase.begun) / 1000.0
-        phase.machine, phase.ours = psutil.cpu_percent() / 100.0, (self._ours() - ours) / took / cores
+        phase.machine, phase.ours = psutil.cpu_percent() / 100.0, self._ours(phase.begun) / took / cores
         self.phases[step.when] = phase
         await self._ask(f"{step.when} ends")
         states = await self._states()
@@ -333,8 +333,13 @@
         elif step.kind == "load":
             await self._entries()
 
-    def _ours(self) -> float:
-        return sum(one[-1].cpu_s for one in self.seen.values() if one)
+    def _ours(self, begun: float) -> float:
+        """Seconds of a core since then; a new life of a process begins at none."""
+        took = 0.0
+        for one in self.seen.values():
+            inside = [at.cpu_s for at in one if at.at > begun - 999.0]
+            took += sum(max(0.0, after - before) for before, after in pairwise(inside))
+        return took
 
     async def _fault(self, step: Step) -> None:
         on = [number for number in step.on if step.kind != "back" or number in self.dead]
