Scale run: changes of the configuration are put, with the leader killed, and over a cut

Hollow members take what the fleet agrees on and note when; real ones' logs tell it by the same clock (`since` beside the event). Parts: at rest on a version, changes one each 3 s, the same with the council's leader killed now and then, a heal with changes missed.

--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -430,7 +430,7 @@
             means = "This dispatcher stays on what it has."
             self.log("configuration refused", what=why, means=means, by=version.by, **facts)
         else:
-            self.log("configuration in force", by=version.by, **facts)
+            self.log("configuration in force", by=version.by, since=self.since, **facts)
         return why
 
     def _tell(self, does: Does) -> None:
--- a/cherrygrade/lab/scale/host.py
+++ b/cherrygrade/lab/scale/host.py
@@ -20,6 +20,8 @@
 
 from cherrygrade.fleet.carriers.party import Party
 from cherrygrade.fleet.members.roll import Claim, Facts, Standing
+from cherrygrade.lab.scale.follow import Follow
+from cherrygrade.lab.scale.follow import state as followed
 from cherrygrade.lab.scale.holdback import COUNTS, Between, HeldLoop
 from cherrygrade.lab.scale.plan import Scale, Ways, address_of, seats
 from cherrygrade.site import Council, Fleet, Origin
@@ -46,16 +48,6 @@
     breaks: str = ""
 
 
-def in_force(party: Party) -> int:
-    """The number of the configuration that is in force at this member; -1 where it follows none.
-
-    The one place to change where a follower of the configuration comes: `Party` starts it by its settings,
-    so a hollow member has it too.
-    """
-    follower = getattr(party, "config", None)
-    return -1 if follower is None else int(follower.number)
-
-
 def fleet_of(scale: Scale, number: int, zone: int, port: int, receiver: str) -> Fleet:
     """As the settings file of a real dispatcher would have it."""
     contacts = [f"{address_of(at)}:{port}" for at in contacts_of(scale)]
@@ -105,7 +97,7 @@
         self.lives: dict[int, int] = {}
         self.samples: list[dict[str, Any]] = []
         self.lateness = Lateness()
-        self.forced: dict[int, list[tuple[float, int]]] = {}
+        self.follow = Follow(self.now, told.breaks)
         self._ghosts: list[Party] = []
         self._process = psutil.Process()
 
@@ -126,6 +118,7 @@
             self.now,
             lambda peer, word: None,
             lambda event, **facts: None,
+            self.follow.taker(number, life),
         )
 
     def _first_claims(self) -> bytes:
@@ -144,6 +137,7 @@
             party = self.members[number] = self._make(number, self.told.born + number)
             party.core.exchanged(_claims.decode(known), "", self.now())  # each its own copy of it
             await party.start()
+        self.follow.broken(self.members[self.told.numbers[0]])
         gc.collect()
         gc.freeze()  # what stands for the whole run is not looked through again, by forty at once
 
@@ -174,7 +168,7 @@
                 "side": core.side.value,
                 "entries": len(core.roll.members),
                 "held": len(party.tasks.holding.held) if party.tasks is not None else 0,
-                "in_force": in_force(party),
+                **followed(party),
             }
         return found
 
@@ -187,6 +181,7 @@
             tasks, chamber = party.tasks, party.chamber
             counts[number].append(chamber.said_bytes if chamber is not None else 0)
             counts[number].append(len(tasks.holding.held) if tasks is not None else 0)
+            self.follow.look(number, self.lives[number], party)
         self.samples.append(
             {
                 "at": self.now(),
@@ -209,7 +204,12 @@
             at = max(at + 1.0, float(int(loop.time()) + 1))
 
     def result(self) -> dict[str, Any]:
-        return {"index": self.told.index, "base_kib": self.base_kib, "samples": self.samples}
+        return {
+            "index": self.told.index,
+            "base_kib": self.base_kib,
+            "samples": self.samples,
+            "forced": self.follow.rows,
+        }
 
     async def act(self, line: dict[str, Any]) -> Any:
         do, numbers = line["do"], [number for number in line.get("on", ()) if number in self.told.numbers]
--- a/cherrygrade/lab/scale/judge.py
+++ b/cherrygrade/lab/scale/judge.py
@@ -15,6 +15,7 @@
 from cherrygrade.lab.audits import fleetaudit
 from cherrygrade.lab.audits.audit import lines
 from cherrygrade.lab.audits.fleetaudit import BACK_MS, GRAIN_MS, MANY_KNOWN_MS, SHOWN_MS, Story, Truth
+from cherrygrade.lab.scale import changes
 from cherrygrade.lab.scale.plan import Scale, Seat, Step, seats
 from cherrygrade.lab.scale.sums import NEVER, Phase, Promise
 from cherrygrade.standin.receiver import carried_out
@@ -22,6 +23,7 @@
 from cherrygrade.standin.ways import ENTRY
 
 CUT = "half cut"
+CUTS = {CUT, changes.MISSED}
 EDGE_MS = 3000.0  # at a part's end, in which each drill is to be done
 
 
@@ -59,9 +61,9 @@
     if record.exists():
         found += leases(record, scale.drills, phases)
     notes = [facts for _, event, *facts in lines(folder / "day.jsonl") if event == "sides"]
-    cut = phases.get(CUT)
-    if cut is not None and cut.ended - cut.begun < MANY_KNOWN_MS:  # nobody has to know of it by its end
-        notes = [facts for facts in notes if facts[0] != CUT]
+    for when in CUTS & phases.keys():
+        if phases[when].ended - phases[when].begun < MANY_KNOWN_MS:  # nobody has to know of it by its end
+            notes = [facts for facts in notes if facts[0] != when]
     return found + sides(scale, notes)
 
 
@@ -91,7 +93,7 @@
     ]
     orders = carried_out(record)
     for when, phase in phases.items():
-        if when != CUT:
+        if when not in CUTS:
             done = {task for at, task, *_ in orders if phase.ended - EDGE_MS < at <= phase.ended}
             found.append(
                 Promise("tasks with leases not done at its end", when, 0, drills - len(done), "tasks")
@@ -107,11 +109,11 @@
         wrong, most = 0, set[int]()
         for number, side in told.items():
             seat = placed[int(number)]
-            wrong += side != expected(scale, placed, seat, when == CUT).value
+            wrong += side != expected(scale, placed, seat, when in CUTS).value
             if side == Side.MOST.value:
-                most.add(seat.region if when == CUT else 0)
+                most.add(seat.region if when in CUTS else 0)
         found.append(Promise("members on another side than theirs at its end", when, 0, wrong, "members"))
-        if when == CUT:
+        if when in CUTS:
             found.append(Promise("sides among the most, beyond one", when, 0, max(0, len(most) - 1), "sides"))
     return found
 
--- a/cherrygrade/lab/scale/plan.py
+++ b/cherrygrade/lab/scale/plan.py
@@ -35,6 +35,12 @@
     cut: float
     heal: float
     restarted: float
+    configured: float = 0.0
+    """At rest, on a version; the next four: `changes.py`."""
+    changes: float = 0.0
+    changes_killed: float = 0.0
+    missed: float = 0.0
+    missed_heal: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +77,7 @@
     quick: Spans
     bounds: Bounds
     site: dict[str, object] = field(default_factory=dict)
+    change_every_ms: float = 3000.0
 
     @property
     def hollow(self) -> int:
--- a/cherrygrade/lab/scale/report.py
+++ b/cherrygrade/lab/scale/report.py
@@ -9,7 +9,7 @@
 
 import psutil
 
-from cherrygrade.lab.scale import sums
+from cherrygrade.lab.scale import changes, sums
 from cherrygrade.lab.scale.plan import Need, Scale, Step, need
 from cherrygrade.lab.scale.sums import Figure, HostResult, Part, Phase, Promise, Seen
 
@@ -108,6 +108,8 @@
     last = run.asked.get(f"{when} ends", {}).get(number)
     if first is None or last is None or last["at"] <= first["at"]:
         return None
+    if last["counts"]["sent"] < first["counts"]["sent"]:  # another life of it
+        return None
     return first, last, (last["at"] - first["at"]) / 1000.0
 
 
@@ -259,6 +261,7 @@
         print(f"  {mark}: {one['what']}: {one['seen']} (bound {one['bound']:.0f} {one['unit']})")
     for one in report["promises_not_measured"]:
         print(f"  not measured: {one['what']}: {one['seen']} (bound {one['bound']:.0f} {one['unit']})")
+    changes.show(report)
     if not held:
         return 1
     return 0 if report["measured"] is True else 3
--- a/cherrygrade/lab/scale/run.py
+++ b/cherrygrade/lab/scale/run.py
@@ -23,7 +23,7 @@
 from cherrygrade.fleet.carriers.ask import ask
 from cherrygrade.fleet.carriers.disk import found
 from cherrygrade.lab.rig.run import free_places
-from cherrygrade.lab.scale import judge, report, sums
+from cherrygrade.lab.scale import changes, judge, report, sums
 from cherrygrade.lab.scale.errors import HostEnded, NotWhole
 from cherrygrade.lab.scale.host import FLEET, Told, fleet_of
 from cherrygrade.lab.scale.plan import (
@@ -38,6 +38,7 @@
     seats,
     steps,
 )
+from cherrygrade.lab.scale.putting import Putting
 from cherrygrade.lab.scale.sums import HostResult, Phase, Seen
 from cherrygrade.records.load import convert, plain, read_vertex
 from cherrygrade.standin.record import Record
@@ -115,7 +116,8 @@
         self, scale: Scale, quick: bool, folder: Path, told: Callable[[str], None], breaks: str = ""
     ) -> None:
         self.scale, self.quick, self.folder, self.told, self.breaks = scale, quick, folder, told, breaks
-        self.steps = steps(scale, quick)
+        self.steps = [*steps(scale, quick), *changes.steps(scale, quick)]
+        self.putting = Putting(self)
         self.seats = seats(scale)
         self.hosts: list[Child] = []
         self.real: list[Child] = []
@@ -261,6 +263,7 @@
                 del told["council"]
             elif number < scale.voters:
                 told["council"]["folder"] = str(self.folder / f"council-d{number}")
+            told["config_file"] = str(self.folder / f"config-d{number}")
             site["fleet"] = told
         site["permits"] = {**site.get("permits", {}), "peers": fleet}
         site["earnings"] = {**site.get("earnings", {}), "tells_elsewhere": not fleet}
@@ -302,11 +305,16 @@
 
     async def _step(self, step: Step) -> None:
         self.told(step.when)
+        if step.kind == "configured":
+            await self.putting.configured()
+        self.putting.story.states[step.when] = [await self._states()]
         await self._ask(f"{step.when} begins")
         phase = Phase(step.when, self.now(), 0.0)
         psutil.cpu_percent()
         ours = self._ours()
         await self._fault(step)
+        if step.kind in changes.KINDS:
+            await self.putting.play(step, phase.begun)
         await asyncio.sleep(max(0.0, (phase.begun + step.for_ms - self.now()) / 1000.0))
         phase.ended = self.now()
         cores, took = psutil.cpu_count() or 1, (phase.ended - phase.begun) / 1000.0
@@ -314,6 +322,9 @@
         self.phases[step.when] = phase
         await self._ask(f"{step.when} ends")
         states = await self._states()
+        self.putting.story.states[step.when].append(states)
+        if step.kind in changes.KINDS:
+            await self.putting.agreed()
         self._note.note("sides", step.when, {number: one["side"] for number, one in states.items()})
         if step.kind == "rest":
             self.facts["entries"] = [one["entries"] for one in states.values()]
@@ -347,13 +358,23 @@
             await asyncio.gather(self._all("back", on=on), *real)
         elif step.kind == "load":
             await self._load()
-        elif step.kind == "cut":
+        elif step.kind in ("cut", "missed"):
             self._note.note("cut", on)
             await self._all("cut", name="half", on=on)
         elif step.kind == "heal":
             await self._all("heal", name="half")
             self._note.note("healed", on)
 
+    async def killed(self, number: int) -> None:
+        """A real member, as a process that is killed."""
+        self._note.note("killed", number, self.lives[number])
+        self.dead.add(number)
+        self.real[number].kill()
+        await self.real[number].end()
+
+    async def launched(self, number: int) -> None:
+        await self._launch(number)
+
     async def _load(self) -> None:
         scale = self.scale
         numbers = range(scale.real - min(scale.loaded, scale.real), scale.real)
@@ -489,4 +510,12 @@
     judge.merge(folder, sorted(folder.glob("host-*.ways")))
     late = sums.lateness(results, run.phases.values(), run.scale.bounds)
     promises = judge.judge(folder, run.scale, run.steps, run.phases)
-    return report.made(run, command, commit(), results, late, promises)
+    story, members = run.putting.gather(folder, results), run.scale.dispatchers
+    promises += changes.promises(story, run.phases, members)
+    made = report.made(run, command, commit(), results, late, promises)
+    made["configuration"] = changes.told(story, run.phases.values(), late["parts"], members)
+    made["changes"] = [one.told() for one in changes.came(story, members) if one.put.part]
+    more = changes.at_rest(made)
+    if more is not None:
+        made["promises"].append(more.told())
+    return made
--- a/cherrygrade/lab/scale/sums.py
+++ b/cherrygrade/lab/scale/sums.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cherrygrade.lab.scale.plan import Bounds
+from cherrygrade.lab.scale.rows import Row
 
 BUSY_HOST = 0.7  # of the one core that an event loop has, over a second
 WAITED = 0.5  # of how late a loop was, spent ready to run and without a core: then it was the machine
@@ -41,6 +42,7 @@
     index: int
     base_kib: int
     samples: list[Sample]
+    forced: list[Row] = []
 
 
 LOADED = "under load"
