--- a/cherrygrade/lab/scale/changes.py
+++ b/cherrygrade/lab/scale/changes.py
@@ -182,7 +182,9 @@
         if row.stage // 2 >= newest and row.at <= phase.ended:
             first.setdefault(row.member, row.at)
     wanted = [member for member in range(members) if member not in dead]
-    return max((max(0.0, first.get(member, NEVER) - phase.begun) for member in wanted), default=NEVER)
+    if any(member not in first for member in wanted):
+        return NEVER
+    return max((max(0.0, first[member] - phase.begun) for member in wanted), default=NEVER)
 
 
 def promises(story: Story, phases: Mapping[str, Phase], members: int) -> list[Promise]:
