A council of one voter answers what it agreed with itself: a put hung for 30 s

A voter alone agrees within the step that proposes, before it was noted who waits for the answer: puts and leases were done and never answered, and `waiting` grew. Who waits is noted before the step is looked at.

The test fails without the mend (seen: no answer to unpack).

--- a/cherrygrade/fleet/council/voter.py
+++ b/cherrygrade/fleet/council/voter.py
@@ -235,12 +235,10 @@
             does.answers.append((by, Elsewhere(ask.id, "", "too much is asked at once")))
         elif isinstance(ask, AskTake):
             op = Take(self._at(now), ask.id, ask.task, ask.holder, ask.birth, ask.for_ms)
-            index = self._propose(books.lease(op), does, now)
-            self.waiting[index] = (self.raft.term, by, ask.id)
+            self._propose(books.lease(op), does, now, by, ask.id)
         elif isinstance(ask, AskGive):
             op_ = Give(self._at(now), ask.task, ask.number, ask.failed)
-            index = self._propose(books.lease(op_), does, now)
-            self.waiting[index] = (self.raft.term, by, ask.id)
+            self._propose(books.lease(op_), does, now, by, ask.id)
         elif isinstance(ask, AskPut):
             does.answers.append((by, Elsewhere(ask.id, "", "it was not judged")))
         else:
@@ -262,8 +260,7 @@
             at, digest = self._at(now), text_digest(ask.text)
             hunks, parts = judged.hunks or (), judged.parts
             op = Put(at, ask.id, ask.based_on, text, hunks, digest, ask.by[:100], parts, judged.old)
-            index = self._propose(books.config(op), does, now)
-            self.waiting[index] = (self.raft.term, by, ask.id)
+            self._propose(books.config(op), does, now, by, ask.id)
         return self._settle(does, now)
 
     def settle(self, number: int, now: float) -> Does:
@@ -286,10 +283,12 @@
         """The leaders' time: it goes on from what the log has, by this one's clock, and never back."""
         return max(self.books.now, now)
 
-    def _propose(self, payload: bytes, does: Does, now: float) -> int:
+    def _propose(self, payload: bytes, does: Does, now: float, by: object = None, asked: str = "") -> None:
+        """`asked`: the id of who waits for what comes of it; a voter alone agrees within the step."""
         index, step = self.raft.propose(payload, now)
+        if asked:
+            self.waiting[index] = (self.raft.term, by, asked)
         self._step(step, does, now)
-        return index
 
     def _prove(self, does: Does, now: float) -> None:
         self._prove_at = NEVER
--- a/tests/test_config_council.py
+++ b/tests/test_config_council.py
@@ -20,6 +20,8 @@
     Elsewhere,
     Judged,
     Took,
+    Voter,
+    founded,
 )
 
 SEATS = Divisors(3)
@@ -89,6 +91,18 @@
     assert [one[0] for one in council.known(council.leader())] == [1, 2]
 
 
+def test_a_voter_alone_answers_what_it_agreed_with_itself_at_once():
+    one = Voter("d0/0", Stored(base=founded(["d0"])), ["d0"], 1, 0.0, 0.005)
+    one.tick(one.due())
+    assert one.leads
+    put = one.put(AskPut("a", "x", 0, "operator"), Judged("", SEATS, SEATS), "asker", 2000.0)
+    (answer,) = put.answers
+    assert answer[0] == "asker" and number(answer[1]) == 1
+    ((_, took),) = one.ask(AskTake("b", "task", "d0", 1, 5000.0), "asker", 2000.0).answers
+    assert isinstance(took, Took) and took.told.number
+    assert not one.waiting
+
+
 def test_who_does_not_lead_says_who_does_and_an_unjudged_text_is_never_proposed():
     council = Voters()
     leader = council.leader()
