--- a/benchmarks/fleet_config.py
+++ b/benchmarks/fleet_config.py
@@ -44,6 +44,7 @@
 VOTERS = [f"d{at}" for at in range(5)]
 ONE_WAY_MS, LOST = 40.0, 0.05
 A_DAY = 740.0
+LOSSY = "at rest, on a version, 5% lost"
 PATIENCE_S = 30.0  # past that a change counts as never there
 SITE = {
     "workloads": {"write": {"soft_ms": 400, "deadline_ms": 2000, "writes": True}},
@@ -304,7 +305,7 @@
 def a_day(rows: list[dict[str, Any]], role: str) -> dict[str, Any]:
     """Of 740 changes a day in the mean, from the minute of twenty over rest."""
     held = {(one["when"], one["what"]): one["mean"] for one in rows if one["role"] == role}
-    rest, much = "at rest, on a version", "twenty changes in a minute"
+    rest, much = LOSSY, "twenty changes in a minute"
     each = {
         what: 60.0 / 20.0 * (held[(much, what)] - held[(rest, what)])
         for what in ("sent", "got", "processor time")
@@ -346,6 +347,8 @@
         figures += spread(await fleet.sampled(rest_s), roles, "at rest, on a version")
         resting.append(now())
         await fleet.control.say("lost", size=LOST)
+        await asyncio.sleep(3.0)
+        figures += spread(await fleet.sampled(rest_s), roles, LOSSY)
         figures += spread(await fleet.sampled(60, 20), roles, "twenty changes in a minute")
         figures += [a_day(figures, role) for role in dict.fromkeys(roles.values())]
         await served(fleet, 3.0, 0)  # until the node is taken for warm
