One that left by its own word is not sure of what it kept; who knows nobody at its start asks later

Who left is passed over as parts settle, and came back sure of the older version at once: its part was of divisors that are gone, for as long as a cut lasts. That it leaves is now on disk before it is told.

--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -37,6 +37,8 @@
 PART = 8192  # of a word in one frame
 MOST_WORD = 1024 * 1024  # a version in frames
 FETCH_S = 1.5  # for a connection, and again for all that comes by it
+LEAVE_S = 0.5  # for the disk, as this dispatcher leaves
+UNSURE_MS = 500.0  # who is not sure looks this often whom it may ask
 MOST_GIVERS = 16  # streams that ask for content, before any of them is told anything
 MOST_SAID = 4096  # members whose last word is remembered for people
 ASK_S = 0.35  # for the words of those that are missing, where a person asks
@@ -196,6 +198,7 @@
         self.givers: dict[Giver, None] = {}
         self.said: dict[str, tuple[int, int, str, float]] = {}
         self.settling: Settling | None = None
+        self._left = False  # it left before, and is not sure again
         self.kept_why = "" if file else "kept in memory alone"
         self.fetched_bytes = self.given_bytes = self.saves = 0
         self.since = 0.0  # when the one in force came into force, by this machine's clock
@@ -216,10 +219,14 @@
         kept = await self._load()
         core, own = self.core, self.core.roll.own
         zone = own.facts.zone if own.facts is not None else ""
-        replica = self.replica = Replica(
-            core.name, zone, own.seat, core.record, self.council.voters, self._seed, self.clock(), kept
-        )
+        left = self._left = self.file is not None and self.file.left
+        me = (core.name, zone, own.seat, core.record, self.council.voters, self._seed, self.clock())
+        replica = self.replica = Replica(*me, None if left else kept)
         does = Does(force=(kept.version, kept.stage)) if kept is not None else Does()
+        if left and kept is not None:
+            # Parts may have been dealt out anew without one that left by its own word: it goes by what it
+            # kept, and is sure of it only once others said so.
+            does = replica.learned(kept.version, kept.stage, self.clock())
         while does.force is not None:  # what was before it, where it is refused
             version, stage = does.force
             does = replica.forced(stage, await self._force(version, stage), self.clock())
@@ -253,6 +260,14 @@
         self.agreed()
         self._set()
 
+    def leave(self) -> None:
+        """Before it is told to anybody: who left is passed over as parts settle."""
+        if self.file is not None:
+            try:
+                self._disk.submit(self.file.leave).result(LEAVE_S)
+            except (OSError, TimeoutError) as full:
+                self.log("configuration not kept", what=f"that this one leaves: {full}")
+
     def close(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -331,7 +346,7 @@
         replica, now = self.replica, self.clock()
         if replica is None or self.core.silent:
             return
-        if now >= replica.due():
+        if now >= replica.due() or not replica.sure:
             self._do(replica.beat(self._near(), now))
         if self.settling is not None and now >= self.settling.due():
             for name, nonce in self.settling.beat(self._claims(), now):
@@ -353,6 +368,8 @@
         if self.replica is None or self.chamber is None:
             return
         due = self.replica.due()
+        if not self.replica.sure:  # as it starts it knows nobody, and whoever comes may have nothing to tell
+            due = min(due, self.clock() + UNSURE_MS)
         if self.settling is not None:
             due = min(due, self.settling.due())
         if due < self._timer_at - 1.0 and due < NEVER / 2.0:
@@ -456,6 +473,9 @@
             here = replica.here()
             self.core.config = Hint(here.stage, here.mark, here.bits)
             self.core.config_why = replica.status()[:120]
+            if self._left and replica.sure and self.file is not None:
+                self._left = False
+                self._disk.submit(self.file.leave, False)
 
     # What it is told and tells.
 
--- a/cherrygrade/fleet/carriers/kept.py
+++ b/cherrygrade/fleet/carriers/kept.py
@@ -43,6 +43,7 @@
     def __init__(self, file: Path) -> None:
         self.file = file
         self._beside = file.with_name(file.name + ".new")
+        self._left = file.with_name(file.name + ".left")
 
     def load(self) -> bytes:
         """What was kept; b"" where nothing was. KeptTornError, OSError."""
@@ -63,6 +64,23 @@
             held.flush()
             os.fsync(held.fileno())
         os.replace(self._beside, self.file)
+        self._sync()
+
+    @property
+    def left(self) -> bool:
+        """Whether it left by its own word since it was last sure of what is kept."""
+        return self._left.exists()
+
+    def leave(self, left: bool = True) -> None:
+        """On disk when it returns. OSError."""
+        if left:
+            self.file.parent.mkdir(parents=True, exist_ok=True)
+            self._left.touch()
+        else:
+            self._left.unlink(missing_ok=True)
+        self._sync()
+
+    def _sync(self) -> None:
         folder = os.open(self.file.parent, os.O_RDONLY)
         try:
             os.fsync(folder)
--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -175,6 +175,8 @@
     def leave(self) -> None:
         if self.tasks is not None:
             self.tasks.leave()
+        if self.config is not None:
+            self.config.leave()
         self._post(self.core.leave(self.clock()))
 
     def close(self) -> None:
--- a/tests/test_config_kept.py
+++ b/tests/test_config_kept.py
@@ -94,3 +94,14 @@
         file.save(NEW)
     assert file.load() == OLD
 
+
+def test_that_it_left_is_known_after_a_start_until_it_is_taken_back(tmp_path):
+    place = tmp_path / "deep" / "kept"
+    assert not KeptFile(place).left
+    KeptFile(place).leave()
+    assert KeptFile(place).left and KeptFile(place).load() == b""
+    KeptFile(place).save(OLD)
+    assert KeptFile(place).left and KeptFile(place).load() == OLD
+    KeptFile(place).leave(False)
+    KeptFile(place).leave(False)
+    assert not KeptFile(place).left and KeptFile(place).load() == OLD
