--- a/cherrygrade/lab/scale/judge.py
+++ b/cherrygrade/lab/scale/judge.py
@@ -17,7 +17,7 @@
 from cherrygrade.lab.audits.fleetaudit import BACK_MS, GRAIN_MS, MANY_KNOWN_MS, SHOWN_MS, Story, Truth
 from cherrygrade.lab.scale import changes
 from cherrygrade.lab.scale.plan import Scale, Seat, Step, seats
-from cherrygrade.lab.scale.sums import NEVER, Phase, Promise
+from cherrygrade.lab.scale.sums import NEVER, TASKS, Phase, Promise
 from cherrygrade.standin.receiver import carried_out
 from cherrygrade.standin.receiver import judge as one_holder
 from cherrygrade.standin.ways import ENTRY
@@ -95,9 +95,7 @@
     for when, phase in phases.items():
         if when not in CUTS:
             done = {task for at, task, *_ in orders if phase.ended - EDGE_MS < at <= phase.ended}
-            found.append(
-                Promise("tasks with leases not done at its end", when, 0, drills - len(done), "tasks")
-            )
+            found.append(Promise("tasks with leases not done at its end", when, 0, drills - len(done), TASKS))
     return found
 
 
