--- a/cherrygrade/lab/scale/host.py
+++ b/cherrygrade/lab/scale/host.py
@@ -224,6 +224,9 @@
         elif do == "heal":
             if self.told.breaks != "heals never":
                 self.between.ways.cuts.pop(str(line["name"]), None)
+        elif do == "round":  # those of the first were shuffled before real members were known
+            for party in self.members.values():
+                party.core.probing.order.clear()
         elif do == "state":
             return self.state()
         else:
--- a/cherrygrade/lab/scale/run.py
+++ b/cherrygrade/lab/scale/run.py
@@ -189,6 +189,7 @@
     async def _play(self) -> None:
         await self._start()
         await self._settle()
+        await self._all("round")
         self._note.note("day", self.now())
         self.told("calm")
         await asyncio.sleep((self.scale.quick if self.quick else self.scale.spans).calm / 1000.0)
