--- a/cherrygrade/lab/scale/changes.py
+++ b/cherrygrade/lab/scale/changes.py
@@ -70,7 +70,7 @@
 
 
 def steps(scale: Scale, quick: bool) -> list[Step]:
-    """None where there is no council."""
+    """Those that the scenario has; none where there is no council."""
     if not scale.voters:
         return []
     spans = scale.quick if quick else scale.spans
@@ -80,13 +80,14 @@
     def note(for_ms: float) -> str:
         return f"{count(scale, for_ms)} changes, {pace}"
 
-    return [
+    found = [
         Step(CONFIGURED, "configured", (), spans.configured),
         Step(CHANGES, "changes", (), spans.changes, note(spans.changes)),
         Step(KILLED, "changes killed", (), spans.changes_killed, note(spans.changes_killed)),
         Step(MISSED, "missed", half, spans.missed, note(spans.missed)),
         Step(HEALED, "heal", half, spans.missed_heal if spans.missed > 0.0 else 0.0),
     ]
+    return [step for step in found if step.for_ms > 0.0]
 
 
 def kills(index: int) -> bool:
--- a/cherrygrade/lab/scale/plan.py
+++ b/cherrygrade/lab/scale/plan.py
@@ -80,6 +80,7 @@
     bounds: Bounds
     site: dict[str, object] = field(default_factory=dict)
     change_every_ms: float = 3000.0
+    faults: bool = True
 
     @property
     def hollow(self) -> int:
@@ -223,7 +224,7 @@
         return told.format(count, usual) if count != usual else ""
 
     short = "" if spans.cut >= 180_000.0 else f"{spans.cut / 1000.0:.0f} s in place of 180 s"
-    return [
+    found = [
         Step("rest", "rest", (), spans.rest),
         Step("under load", "load", (), spans.loaded),
         Step("one dead", "kill", one, spans.one_dead),
@@ -240,6 +241,7 @@
         Step("heal", "heal", half, spans.heal),
         Step("10 restarted", "restart", some, spans.restarted, scaled(len(some), SOME)),
     ]
+    return found if scale.faults else found[:1]
 
 
 # What fits.
