Scale run: the leader is whom voters name, so that its rows at rest are not lost at 120 and more

All real members were asked at rest, and of those that do not vote most had asked nobody: most named no leader, and it was counted among the voters in the reports of 120, 180, 240 and 400 (rows at rest; the highest of their spread is the leader). Test seen to fail: the function took all members' words.

--- a/cherrygrade/lab/scale/report.py
+++ b/cherrygrade/lab/scale/report.py
@@ -111,19 +111,24 @@
 
 
 def _leader(run: Run, when: str) -> str:
-    told = run.asked.get(f"{when} ends", {})
-    named = [one["council"]["leader"] for one in told.values() if one.get("council")]
-    return max(sorted({*named}), key=named.count).removeprefix("d").partition("/")[0] if named else ""
+    return leader(run.asked.get(f"{when} ends", {}), run.scale.voters)
+
+
+def leader(told: dict[str, dict[str, Any]], voters: int) -> str:
+    """Its number, as most voters name it; who does not vote may not have asked anybody yet. "" for none."""
+    words = [told[str(number)]["council"] for number in range(voters) if str(number) in told]
+    named = [word["leader"] for word in words if word and word["leader"]]
+    return max(sorted({*named}), key=named.count).removeprefix("d") if named else ""
 
 
 def council(run: Run, phase: Phase) -> list[Figure]:
     """Of voters and of their leader: what the system counts, and the words that they sent as such."""
     found: list[Figure] = []
-    leader = _leader(run, phase.when)
+    leads = _leader(run, phase.when)
     voters = [str(number) for number in range(run.scale.voters)]
     for role, names in (
-        ("council leader", [one for one in voters if one == leader]),
-        ("council voter", [one for one in voters if one != leader]),
+        ("council leader", [one for one in voters if one == leads]),
+        ("council voter", [one for one in voters if one != leads]),
     ):
         seen = [run.seen.get(f"dispatcher-{name}", []) for name in names]
         found += sums.processes(role, seen, phase, disk=True)
@@ -159,12 +164,12 @@
     found += sums.processes("register", [run.seen.get("register", [])], phase)
     found.append(_even("register", "state entries", "nodes", [float(scale.nodes)]))
     found.append(_even("register", "connections", "connections", [float(sockets.get("register", 0))]))
-    leader = _leader(run, "rest")
+    leads = _leader(run, "rest")
     voters = [str(number) for number in range(scale.voters)]
     asked = run.asked.get("rest ends", {})
     for role, names in (
-        ("council voter", [name for name in voters if name != leader]),
-        ("council leader", [name for name in voters if name == leader]),
+        ("council voter", [name for name in voters if name != leads]),
+        ("council leader", [name for name in voters if name == leads]),
     ):
         names = [name for name in names if name in asked]
         if names:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -292,6 +292,12 @@
     assert "not measured: w" in capsys.readouterr().out
 
 
+def test_the_leader_is_whom_voters_name():
+    told = {str(number): {"council": {"leader": "d2" if number < 5 else ""}} for number in range(24)}
+    assert report.leader(told, 5) == "2"
+    assert report.leader({"0": {"council": {"leader": ""}}, "7": {"council": {"leader": "d1"}}}, 5) == ""
+
+
 # Runs, small.
 
 
