Scale run: the disk's pace is told once, by part of the run

The run itself came to tell it for each part meanwhile (`disk_worst_ms`); what stood beside changes is gone again, and its test looks there.

--- a/cherrygrade/lab/scale/changes.py
+++ b/cherrygrade/lab/scale/changes.py
@@ -50,15 +50,13 @@
 @dataclass(slots=True)
 class Story:
     """What a run came to. `agreed`: each version's mark as the council told it; `states`: by part, what
-    hollow members told of themselves at its two ends; `syncs`: when the voters' disk was asked to
-    keep a page, and how long it took."""
+    hollow members told of themselves at its two ends."""
 
     puts: list[Put] = field(default_factory=list)
     rows: list[Row] = field(default_factory=list)
     gaps: list[Gap] = field(default_factory=list)
     agreed: dict[int, str] = field(default_factory=dict)
     states: dict[str, list[dict[str, dict[str, Any]]]] = field(default_factory=dict)
-    syncs: list[tuple[float, float]] = field(default_factory=list)
 
 
 # The plan.
@@ -243,8 +241,6 @@
             "members_passed_over": sum(one.passed_over for one in mine),
             "leader_killed": sum(phase.begun <= gap.killed <= phase.ended for gap in story.gaps),
         }
-        if syncs := [took for at, took in story.syncs if phase.begun <= at <= phase.ended]:
-            part["disk_sync"] = _three(syncs)
         states = story.states.get(phase.when, [])
         if len(states) == 2:
             part |= spent(states[0], states[1], len(mine))
--- a/cherrygrade/lab/scale/putting.py
+++ b/cherrygrade/lab/scale/putting.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import os
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, Protocol
@@ -23,7 +22,6 @@
 PUT_S = 10.0  # that a change is asked for anew, before it counts as not agreed
 AGAIN_S = 0.1
 PATIENCE_S = 5.0
-SYNC_EVERY_S = 1.0
 
 
 class Run(Protocol):
@@ -31,7 +29,6 @@
 
     scale: Scale
     port: int
-    folder: Path
     dead: set[int]
     told: Any
 
@@ -86,7 +83,6 @@
         run = self.run
         if step.kind == "missed":
             self.cut = frozenset(one.number for one in seats(run.scale) if one.number in step.on)
-        watching = asyncio.create_task(self._watch_disk())
         for index in range(changes.count(run.scale, step.for_ms)):
             due = begun + index * run.scale.change_every_ms
             await asyncio.sleep(max(0.0, (due - run.now()) / 1000.0))
@@ -95,16 +91,6 @@
                 await self._done()
                 self._killing = asyncio.create_task(self._kill(run.scale.change_every_ms / 2000.0))
         await self._done()
-        watching.cancel()
-
-    async def _watch_disk(self) -> None:
-        """How long the disk that voters write to takes for a page: where it is slow, so are elections."""
-        run, loop = self.run, asyncio.get_running_loop()
-        while True:
-            begun = run.now()
-            await loop.run_in_executor(None, _sync, run.folder / "sync")
-            self.story.syncs.append((begun, run.now() - begun))
-            await asyncio.sleep(SYNC_EVERY_S)
 
     async def _done(self) -> None:
         if self._killing is not None:
@@ -145,13 +131,6 @@
         return story
 
 
-def _sync(file: Path) -> None:
-    with file.open("wb") as out:
-        out.write(bytes(4096))
-        out.flush()
-        os.fsync(out.fileno())
-
-
 def logged(file: Path, member: int) -> list[Row]:
     """Of a real member: all its lives are one, it keeps its configuration."""
     found = []
--- a/tests/test_scale_changes.py
+++ b/tests/test_scale_changes.py
@@ -208,7 +208,7 @@
     assert "not run: rest" == str(told["measured"]).rpartition("; ")[2]
     part = told["configuration"][changes.CHANGES]
     assert part["changes"] == 3 and part["leader_killed"] == 0
-    assert part["disk_sync"]["worst_ms"] > 0.0
+    assert told["lateness"]["parts"][changes.CHANGES]["disk_worst_ms"] > 0.0
     mean, most = part[changes.SPENT["fetched_bytes"]]
     assert 0.0 < mean <= most
 
