--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from cherrygrade.fleet.carriers.chamber import Chamber
+from cherrygrade.fleet.carriers.council_server import CouncilServer
 from cherrygrade.fleet.carriers.kept import KeptFile, KeptTornError
 from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.config.parts import Seated, Settling, seats
@@ -193,7 +193,7 @@
         self._source, self._seed, self._in_force, self._post = source, seed, in_force, post
         self.file = KeptFile(Path(file)) if file else None
         self.replica: Replica | None = None
-        self.chamber: Chamber | None = None
+        self.council_server: CouncilServer | None = None
         self.fetches: dict[Fetch, None] = {}
         self.givers: dict[Giver, None] = {}
         self.said: dict[str, tuple[int, int, str, float]] = {}
@@ -254,9 +254,9 @@
             )
             return None
 
-    def ready(self, chamber: Chamber) -> None:
+    def ready(self, council_server: CouncilServer) -> None:
         """The party's sockets are there."""
-        self.chamber = chamber
+        self.council_server = council_server
         self.agreed()
         self._set()
 
@@ -302,7 +302,7 @@
 
     def agreed(self) -> None:
         """The voter's log may have come to more, and that is on its disk."""
-        voter, replica = self.chamber.voter if self.chamber is not None else None, self.replica
+        voter, replica = self.council_server.voter if self.council_server is not None else None, self.replica
         if voter is None or replica is None:
             return
         known = voter.books.versions
@@ -359,13 +359,13 @@
 
     def _settle(self) -> None:
         settling = self.settling
-        if settling is not None and self.chamber is not None and settling.whole(self._claims()):
+        if settling is not None and self.council_server is not None and settling.whole(self._claims()):
             self.settling = None
             self.log("configuration settled", number=self._settling_of[1])
-            self.chamber.settle(self._settling_of[1])
+            self.council_server.settle(self._settling_of[1])
 
     def _set(self) -> None:
-        if self.replica is None or self.chamber is None:
+        if self.replica is None or self.council_server is None:
             return
         due = self.replica.due()
         if not self.replica.sure:  # as it starts it knows nobody, and whoever comes may have nothing to tell
--- a/cherrygrade/fleet/carriers/chamber.py
+++ b/cherrygrade/fleet/carriers/council_server.py
@@ -50,8 +50,8 @@
 class Line:
     """One connection for the council's words, made here (`to`) or there. Words come in frames."""
 
-    def __init__(self, chamber: Chamber, name: str = "") -> None:
-        self.chamber, self.name = chamber, name
+    def __init__(self, council_server: CouncilServer, name: str = "") -> None:
+        self.council_server, self.name = council_server, name
         self.conn = Connection(self, 0)
         self.queue: deque[bytes] = deque(maxlen=MOST_QUEUED)
         self.ready = self.connecting = False
@@ -72,31 +72,31 @@
 
     async def _connect(self) -> None:
         try:
-            to = self.chamber.place(self.name)
+            to = self.council_server.place(self.name)
             if to is None:
                 await asyncio.sleep(AGAIN_S)
                 return
             async with asyncio.timeout(CONNECT_S):
                 loop = asyncio.get_running_loop()
-                host = self.chamber.source
+                host = self.council_server.source
                 await loop.create_connection(lambda: self.conn, *to, local_addr=(host, 0))
         except OSError:
             await asyncio.sleep(AGAIN_S)
         finally:
             self.connecting = False
             if not self.conn.open:
-                self.chamber.lost(self)
+                self.council_server.lost(self)
 
     def _send(self, data: bytes) -> None:
-        self.chamber.said_bytes += len(data)
+        self.council_server.said_bytes += len(data)
         for at in range(0, len(data), PART):
             self.conn.send(Members(data[at : at + PART], at + PART >= len(data)))
 
     # What the connection tells.
 
     def connected(self, conn: Connection) -> None:
-        fleet = self.chamber.fleet
-        conn.send(Hello(VERSION, "council", self.chamber.name, [fleet]))
+        fleet = self.council_server.fleet
+        conn.send(Hello(VERSION, "council", self.council_server.name, [fleet]))
         self.ready = True
         while self.queue:
             self._send(self.queue.popleft())
@@ -117,7 +117,7 @@
         elif message.last:
             data, self._within = bytes(self._within), bytearray()
             try:
-                self.chamber.came(self, data)
+                self.council_server.came(self, data)
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 self.conn.close("a word that can't be read")
 
@@ -126,14 +126,14 @@
 
     def closed(self, conn: Connection, why: str) -> None:
         self.ready = False
-        self.chamber.lost(self)
+        self.council_server.lost(self)
 
 
 class Guest(Line):
     """One that came in: the party's stream hands its frames on."""
 
-    def __init__(self, chamber: Chamber, conn: Connection, name: str) -> None:
-        super().__init__(chamber, name)
+    def __init__(self, council_server: CouncilServer, conn: Connection, name: str) -> None:
+        super().__init__(council_server, name)
         self.conn, self.ready = conn, True
 
     def say(self, kind: bytes, word: Any) -> None:
@@ -156,7 +156,7 @@
     return Judged("", parts, old, hunks if short and before else None)
 
 
-class Chamber:
+class CouncilServer:
     """`lines` by voter, `guests` while they stay, `asks` until they are answered or their time is up;
     `judging` by an ask's id, while its text is looked at."""
 
--- a/cherrygrade/fleet/carriers/operator.py
+++ b/cherrygrade/fleet/carriers/operator.py
@@ -20,8 +20,8 @@
 import msgspec
 
 from cherrygrade.errors import Trouble
-from cherrygrade.fleet.carriers.chamber import Chamber
 from cherrygrade.fleet.carriers.config import Configuration, Framed
+from cherrygrade.fleet.carriers.council_server import CouncilServer
 from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.config.versions import MOST_TEXT
 from cherrygrade.fleet.council.voter import AskConfig, AskPut, ConfigShown, Configured
@@ -69,10 +69,14 @@
     """One person's stream; the party's stream hands its frames on."""
 
     def __init__(
-        self, config: Configuration, chamber: Chamber, conn: Connection, gone: Callable[[], object]
+        self,
+        config: Configuration,
+        council_server: CouncilServer,
+        conn: Connection,
+        gone: Callable[[], object],
     ) -> None:
         super().__init__(conn)
-        self.config, self.chamber, self._gone = config, chamber, gone
+        self.config, self.council_server, self._gone = config, council_server, gone
         self.task: asyncio.Task[None] | None = None
         self._timer = asyncio.get_running_loop().call_later(LEAVE_S, conn.abort, "a person in no hurry")
 
@@ -97,7 +101,7 @@
 
     async def _shown(self, ask_id: str, number: int = 0) -> ConfigShown:
         try:
-            found = await self.chamber.ask(AskConfig(ask_id, number), COUNCIL_S)
+            found = await self.council_server.ask(AskConfig(ask_id, number), COUNCIL_S)
         except Unreached as trouble:
             raise ConfigUnreached(trouble.what) from trouble
         assert isinstance(found, ConfigShown)
@@ -109,7 +113,7 @@
             shown = await self._shown(f"{request.id}/newest")
             based_on = shown.lines[-1].number if shown.lines else 0
         ask = AskPut(request.id, request.text, based_on, request.by)
-        asking = asyncio.get_running_loop().create_task(self.chamber.ask(ask, JUDGE_S))
+        asking = asyncio.get_running_loop().create_task(self.council_server.ask(ask, JUDGE_S))
         try:
             while not (await asyncio.wait({asking}, timeout=COUNCIL_S))[0]:
                 await self._shown(f"{request.id}/leads")  # a long text: does it still lead?
@@ -131,7 +135,9 @@
     async def _show(self, number: int) -> dict[str, Any]:
         here = self.config.status()
         try:
-            shown = await self._shown(f"{self.chamber.name}/{self.chamber.birth}/show/{id(self)}", number)
+            shown = await self._shown(
+                f"{self.council_server.name}/{self.council_server.birth}/show/{id(self)}", number
+            )
         except ConfigUnreached as trouble:
             if number:
                 raise
--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/party.py
@@ -28,8 +28,8 @@
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Members, Welcome
 
 if TYPE_CHECKING:
-    from cherrygrade.fleet.carriers.chamber import Chamber, Guest, Judge
     from cherrygrade.fleet.carriers.config import Configuration, Giver, InForce
+    from cherrygrade.fleet.carriers.council_server import CouncilServer, Guest, Judge
     from cherrygrade.fleet.carriers.operator import Desk
     from cherrygrade.fleet.carriers.tasks import Tasks
 
@@ -84,7 +84,7 @@
         self.ration: Ration[tuple[bytes, tuple[str, int]]] = Ration(clock())
         self.streams: dict[Stream, None] = {}
         self.addresses: dict[int, str] = {}  # of nodes that sends went to, by mark: no more than marks
-        self.chamber: Chamber | None = None
+        self.council_server: CouncilServer | None = None
         self.tasks: Tasks | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -125,11 +125,11 @@
 
     async def _sit(self, council: Council, host: str) -> None:
         # Where no council is named, none of it is loaded.
-        from cherrygrade.fleet.carriers.chamber import Chamber
+        from cherrygrade.fleet.carriers.council_server import CouncilServer
         from cherrygrade.fleet.carriers.tasks import Tasks
 
         core = self.core
-        self.chamber = Chamber(
+        self.council_server = CouncilServer(
             council,
             self.fleet.name,
             self.name,
@@ -142,11 +142,11 @@
             self._judge,
             lambda: self.config.agreed() if self.config is not None else None,
         )
-        await self.chamber.start()
+        await self.council_server.start()
         if self.config is not None:
-            self.config.ready(self.chamber)
+            self.config.ready(self.council_server)
         self.tasks = Tasks(
-            self.chamber,
+            self.council_server,
             council,
             self._seed,
             self.clock,
@@ -195,8 +195,8 @@
             self.config.close()
         for desk in [*self.desks]:
             desk.conn.close("dispatcher leaves")
-        if self.chamber is not None:
-            self.chamber.close()
+        if self.council_server is not None:
+            self.council_server.close()
 
     def status(self) -> dict[str, Any]:
         """What a person on call is shown."""
@@ -233,7 +233,7 @@
             "counts": self.counts(),
             "members": members,
             "nodes": self._nodes(now),
-            "council": self.chamber.status() if self.chamber is not None else None,
+            "council": self.council_server.status() if self.council_server is not None else None,
             "leases": self.tasks.status() if self.tasks is not None else None,
             "config": self.config.status() if self.config is not None else None,
         }
@@ -461,16 +461,16 @@
                 self.conn.close("exchanged")
 
     def _council(self, name: str) -> None:
-        chamber = self.party.chamber
-        self._stays(chamber.welcome(self.conn, name) if chamber is not None else None, name)
+        council_server = self.party.council_server
+        self._stays(council_server.welcome(self.conn, name) if council_server is not None else None, name)
 
     def _desk(self) -> Desk | None:
         from cherrygrade.fleet.carriers.operator import MOST_OPERATORS, Desk
 
         party = self.party
-        if party.config is None or party.chamber is None or len(party.desks) >= MOST_OPERATORS:
+        if party.config is None or party.council_server is None or len(party.desks) >= MOST_OPERATORS:
             return None
-        desk = Desk(party.config, party.chamber, self.conn, lambda: party.desks.pop(desk, None))
+        desk = Desk(party.config, party.council_server, self.conn, lambda: party.desks.pop(desk, None))
         party.desks[desk] = None
         return desk
 
--- a/cherrygrade/fleet/carriers/tasks.py
+++ b/cherrygrade/fleet/carriers/tasks.py
@@ -10,7 +10,7 @@
 import json
 from collections.abc import Callable
 
-from cherrygrade.fleet.carriers.chamber import Chamber
+from cherrygrade.fleet.carriers.council_server import CouncilServer
 from cherrygrade.fleet.carriers.places import address
 from cherrygrade.fleet.council.voter import AskFree, AskGive, AskRenew, AskTake, Freed, Renewed, Took
 from cherrygrade.fleet.errors import Unreached
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        chamber: Chamber,
+        council_server: CouncilServer,
         council: Council,
         seed: int,
         clock: Callable[[], float],
@@ -37,10 +37,10 @@
         log: Callable[..., None],
     ) -> None:
         """`living`: by name; nobody where this one is in no state to do anything for the fleet."""
-        self.chamber, self.council, self.clock = chamber, council, clock
+        self.council_server, self.council, self.clock = council_server, council, clock
         self._living, self._log = living, log
-        self.holding = Holding(chamber.name, chamber.birth, council.lease_ms, council.drift)
-        self.wanting = Wanting(chamber.name, seed, clock())
+        self.holding = Holding(council_server.name, council_server.birth, council.lease_ms, council.drift)
+        self.wanting = Wanting(council_server.name, seed, clock())
         self.asking: set[asyncio.Task[None]] = set()
         self.drill: Drill | None = None
         for task in council.drills:
@@ -49,7 +49,7 @@
 
     def start(self) -> None:
         if self.council.drills and self.council.receiver:
-            self.drill = Drill(self, self.council.receiver, self.chamber.source)
+            self.drill = Drill(self, self.council.receiver, self.council_server.source)
         self._beat()
 
     def leave(self) -> None:
@@ -100,7 +100,7 @@
         asked, same = self.holding.renew(self.clock())
         ask = AskRenew(asked, self.holding.name, self.holding.birth, same)
         try:
-            answer = await self.chamber.ask(ask, WITHIN_S)
+            answer = await self.council_server.ask(ask, WITHIN_S)
         except Unreached:
             return
         if isinstance(answer, Renewed):
@@ -113,7 +113,7 @@
 
     async def _look(self, some: list[str]) -> None:
         try:
-            answer = await self.chamber.ask(AskFree(self.holding.ask(self.clock()), some), WITHIN_S)
+            answer = await self.council_server.ask(AskFree(self.holding.ask(self.clock()), some), WITHIN_S)
             if isinstance(answer, Freed):
                 for task in self.wanting.told(some, answer.tasks, self._living(), self.clock()):
                     await self._take(task)
@@ -123,7 +123,7 @@
     async def _take(self, task: str) -> None:
         asked = self.holding.ask(self.clock(), task)
         ask = AskTake(asked, task, self.holding.name, self.holding.birth, self.council.lease_ms)
-        answer = await self.chamber.ask(ask, WITHIN_S)
+        answer = await self.council_server.ask(ask, WITHIN_S)
         if isinstance(answer, Took) and self.holding.granted(asked, task, answer.told.number, self.clock()):
             self._log("lease held", task=task, number=answer.told.number)
 
@@ -137,7 +137,7 @@
     async def _back(self, task: str, number: int, failed: str = "") -> None:
         ask = AskGive(self.holding.ask(self.clock()), task, number, failed)
         try:
-            await self.chamber.ask(ask, WITHIN_S)
+            await self.council_server.ask(ask, WITHIN_S)
         except Unreached:
             pass  # it ends by its time, or is found again
 
--- a/cherrygrade/lab/scale/host.py
+++ b/cherrygrade/lab/scale/host.py
@@ -178,8 +178,8 @@
         late, self.lateness.second = sorted(self.lateness.second), []
         counts = {number: list(self.between.counts.get(number, [0] * len(COUNTS))) for number in self.members}
         for number, party in self.members.items():
-            tasks, chamber = party.tasks, party.chamber
-            counts[number].append(chamber.said_bytes if chamber is not None else 0)
+            tasks, council_server = party.tasks, party.council_server
+            counts[number].append(council_server.said_bytes if council_server is not None else 0)
             counts[number].append(len(tasks.holding.held) if tasks is not None else 0)
             self.follow.look(number, self.lives[number], party)
         self.samples.append(
@@ -237,8 +237,8 @@
 def end(party: Party) -> None:
     for stream in [*party.streams]:
         stream.conn.abort("killed")
-    if party.chamber is not None:
-        for line in [*party.chamber.lines.values(), *party.chamber.guests]:
+    if party.council_server is not None:
+        for line in [*party.council_server.lines.values(), *party.council_server.guests]:
             line.conn.abort("killed")
     party.close()
 
--- a/tests/test_config_council.py
+++ b/tests/test_config_council.py
@@ -28,7 +28,7 @@
 
 
 class Voters(Council):
-    """With changes asked for as the chamber does: judged, then put."""
+    """With changes asked for as the council_server does: judged, then put."""
 
     def put(self, text: str, based_on: int, id: str, name: str = "", parts: Divisors = SEATS):
         self.answers.clear()
--- a/tests/test_council_processes.py
+++ b/tests/test_council_processes.py
@@ -24,7 +24,7 @@
 TASKS = [f"t{at}" for at in range(12)]
 
 
-class Chamber(Company):
+class CouncilServer(Company):
     """Five dispatchers, three of them voters, twelve drills, one receiver, each a process."""
 
     numbered = True
@@ -87,63 +87,65 @@
     return asyncio.get_running_loop().time() * 1000.0
 
 
-def play(story: Callable[[Chamber], Coroutine[Any, Any, None]], folder: Path, numbered: bool = True) -> None:
+def play(
+    story: Callable[[CouncilServer], Coroutine[Any, Any, None]], folder: Path, numbered: bool = True
+) -> None:
     async def whole(house: House) -> None:
         await house.node(0)
         await house.register.start()
-        chamber = Chamber(folder, house.register.address)
-        chamber.numbered = numbered
+        council_server = CouncilServer(folder, house.register.address)
+        council_server.numbered = numbered
         try:
-            await chamber.open()
-            await chamber.all_done(0.0, 10.0)
-            await story(chamber)
-            assert not judge(chamber.record)
+            await council_server.open()
+            await council_server.all_done(0.0, 10.0)
+            await story(council_server)
+            assert not judge(council_server.record)
         finally:
-            await chamber.close()
+            await council_server.close()
 
     run(whole, 60.0)
 
 
 def test_a_killed_holders_tasks_are_done_by_others_within_its_lease_and_a_second(tmp_path):
-    async def story(chamber: Chamber) -> None:
-        holders = chamber.holders()
+    async def story(council_server: CouncilServer) -> None:
+        holders = council_server.holders()
         assert len({*holders.values()}) >= 3  # spread
         victim = next(name for name in ("d3", "d4") if name in holders.values())
-        await chamber.kill(int(victim[1:]))
+        await council_server.kill(int(victim[1:]))
         killed = now_ms()
-        await chamber.all_done(killed, 10.0, but=victim)
+        await council_server.all_done(killed, 10.0, but=victim)
         first = {}
-        for at, task, _, holder, _, _, done in chamber.orders():
+        for at, task, _, holder, _, _, done in council_server.orders():
             if done and at > killed and holder != victim and holders[task] == victim:
                 first.setdefault(task, at)
         assert max(first.values()) - killed < LEASE_MS * 1.01 + 2500.0
-        assert len({chamber.holders(killed)[task] for task in first}) >= 1
+        assert len({council_server.holders(killed)[task] for task in first}) >= 1
 
     play(story, tmp_path)
 
 
 def test_a_leader_that_is_killed_costs_no_task_and_its_restart_neither(tmp_path):
-    async def story(chamber: Chamber) -> None:
-        leader = chamber.leader()
-        await chamber.kill(leader)
+    async def story(council_server: CouncilServer) -> None:
+        leader = council_server.leader()
+        await council_server.kill(leader)
         killed = now_ms()
-        await chamber.all_done(killed, 10.0, but=f"d{leader}")
-        await chamber.start(leader)
+        await council_server.all_done(killed, 10.0, but=f"d{leader}")
+        await council_server.start(leader)
         back = now_ms()
-        await chamber.all_done(back + 500.0, 6.0)
+        await council_server.all_done(back + 500.0, 6.0)
 
     play(story, tmp_path)
 
 
 def test_a_holder_paused_past_its_lease_goes_on_with_nothing(tmp_path):
-    async def story(chamber: Chamber) -> None:
-        victim = next(name for name in ("d4", "d3") if name in chamber.holders().values())
+    async def story(council_server: CouncilServer) -> None:
+        victim = next(name for name in ("d4", "d3") if name in council_server.holders().values())
         number = int(victim[1:])
-        process = chamber.running[number]
+        process = council_server.running[number]
         for _ in range(3):  # it may stand anywhere: between the look and the write too
             process.send_signal(signal.SIGSTOP)
             paused = now_ms()
-            await chamber.all_done(paused + 200.0, 12.0, but=victim)
+            await council_server.all_done(paused + 200.0, 12.0, but=victim)
             process.send_signal(signal.SIGCONT)
             await asyncio.sleep(1.0)
 
@@ -151,34 +153,34 @@
 
 
 def test_a_majority_that_is_gone_ends_all_tasks_and_brings_them_back_with_it(tmp_path):
-    async def story(chamber: Chamber) -> None:
+    async def story(council_server: CouncilServer) -> None:
         for number in (0, 1):
-            await chamber.kill(number)
+            await council_server.kill(number)
         await asyncio.sleep(LEASE_MS / 1000.0 * 1.1)
         quiet = now_ms()
         await asyncio.sleep(1.0)
-        assert not chamber.holders(quiet)  # holders stopped by themselves
-        await chamber.start(0)
-        await chamber.all_done(quiet, 10.0)
+        assert not council_server.holders(quiet)  # holders stopped by themselves
+        await council_server.start(0)
+        await council_server.all_done(quiet, 10.0)
 
     play(story, tmp_path)
 
 
 def test_a_voter_whose_store_is_lost_is_let_in_again(tmp_path):
-    async def story(chamber: Chamber) -> None:
-        await chamber.kill(1)
-        for file in (chamber.folder / "d1").iterdir():
+    async def story(council_server: CouncilServer) -> None:
+        await council_server.kill(1)
+        for file in (council_server.folder / "d1").iterdir():
             file.unlink()
-        await chamber.start(1)
+        await council_server.start(1)
 
         async def let_in() -> bool:
-            told = [one["council"] for one in await chamber.told()]
+            told = [one["council"] for one in await council_server.told()]
             voters = next((one["voters"] for one in told if one["leader"] and one.get("me")), [])
             return len(voters) == 3 and "d1/0" not in voters
 
-        await chamber.until(let_in, 10.0)
-        await chamber.kill(2 if chamber.leader() != 2 else 0)  # it has to count now
+        await council_server.until(let_in, 10.0)
+        await council_server.kill(2 if council_server.leader() != 2 else 0)  # it has to count now
         killed = now_ms()
-        await chamber.all_done(killed, 12.0)
+        await council_server.all_done(killed, 12.0)
 
     play(story, tmp_path)
