--- a/benchmarks/fleet_members.py
+++ b/benchmarks/fleet_members.py
@@ -88,7 +88,7 @@
         begun, turn = yard.now(), 0
         while yard.now() - begun < seconds * 1000.0:
             turn += 1
-            still = [yard.parties[number][0] for number in range(turn % 10, count, 10)]
+            still = [yard.agents[number][0] for number in range(turn % 10, count, 10)]
             for process in still:
                 process.stop()
             await asyncio.sleep(2.0)
--- a/cherrygrade/fleet/carriers/party.py
+++ b/cherrygrade/fleet/carriers/agent.py
@@ -51,7 +51,7 @@
 _claims = msgspec.msgpack.Decoder(list[Claim])
 
 
-class Party:
+class FleetAgent:
     """One dispatcher's part. `streams` end by themselves or by time; nothing else here grows."""
 
     def __init__(
@@ -363,11 +363,11 @@
 
 
 class Ear(asyncio.DatagramProtocol):
-    def __init__(self, party: Party) -> None:
-        self.party = party
+    def __init__(self, agent: FleetAgent) -> None:
+        self.agent = agent
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.party.came(data, (addr[0], addr[1]))
+        self.agent.came(data, (addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         pass  # a place where nobody listens: found out by silence, as everywhere
@@ -376,8 +376,8 @@
 class Stream:
     """One exchange of whole rolls, begun here (`to`) or there; or a person's question."""
 
-    def __init__(self, party: Party, to: str = "") -> None:
-        self.party, self.to = party, to
+    def __init__(self, agent: FleetAgent, to: str = "") -> None:
+        self.agent, self.to = agent, to
         self.task: asyncio.Task[None] | None = None
         self.conn = Connection(self, 0)
         self.peer = ""
@@ -387,26 +387,26 @@
         self._timer: asyncio.TimerHandle | None = None
 
     async def connect(self, to: tuple[str, int]) -> None:
-        host = (self.party.fleet.bind or self.party.fleet.place).rpartition(":")[0]
+        host = (self.agent.fleet.bind or self.agent.fleet.place).rpartition(":")[0]
         try:
             async with asyncio.timeout(EXCHANGE_S):
                 loop = asyncio.get_running_loop()
                 await loop.create_connection(lambda: self.conn, *to, local_addr=(host, 0))
         except OSError:
-            self.party.streams.pop(self, None)
+            self.agent.streams.pop(self, None)
 
     def connected(self, conn: Connection) -> None:
-        if len(self.party.streams) >= MOST_STREAMS:
+        if len(self.agent.streams) >= MOST_STREAMS:
             conn.close("too many at once")
             return
-        self.party.streams[self] = None
+        self.agent.streams[self] = None
         self._timer = asyncio.get_running_loop().call_later(EXCHANGE_S, conn.abort, "no exchange in time")
         if self.to:
-            conn.send(Hello(VERSION, "member", self.party.name, [self.party.fleet.name]))
+            conn.send(Hello(VERSION, "member", self.agent.name, [self.agent.fleet.name]))
             self._say()
 
     def _say(self) -> None:
-        claims = self.party.core.whole()
+        claims = self.agent.core.whole()
         loads = [claims[at : at + AT_ONCE] for at in range(0, len(claims), AT_ONCE)]
         for index, load in enumerate(loads):
             self.conn.send(Members(msgspec.msgpack.encode(load), index == len(loads) - 1))
@@ -417,17 +417,17 @@
     def frame(self, conn: Connection, message: Any, body: object) -> None:
         if isinstance(message, Hello) and not self.to and not self.peer:
             if message.role == "person":
-                data = json.dumps(self.party.status()).encode()
-                conn.send(Welcome(VERSION, self.party.name))
+                data = json.dumps(self.agent.status()).encode()
+                conn.send(Welcome(VERSION, self.agent.name))
                 for at in range(0, len(data), 8192):
                     conn.send(Members(data[at : at + 8192], at + 8192 >= len(data)))
-            elif message.role == "member" and message.features[:1] == [self.party.fleet.name]:
+            elif message.role == "member" and message.features[:1] == [self.agent.fleet.name]:
                 self.peer = message.name
-                conn.send(Welcome(VERSION, self.party.name))
-            elif message.role == "council" and message.features[:1] == [self.party.fleet.name]:
+                conn.send(Welcome(VERSION, self.agent.name))
+            elif message.role == "council" and message.features[:1] == [self.agent.fleet.name]:
                 self._council(message.name)
-            elif message.role == "config" and message.features[:1] == [self.party.fleet.name]:
-                config = self.party.config
+            elif message.role == "config" and message.features[:1] == [self.agent.fleet.name]:
+                config = self.agent.config
                 self._stays(config.welcome(conn) if config is not None else None, message.name)
             elif message.role == "operator":
                 self._stays(self._desk(), message.name)
@@ -454,24 +454,24 @@
         elif message.last:
             if not self.to:
                 self._say()
-            self.party.core.exchanged(self._claims, self.peer, self.party.clock())
-            self.party._post(Mail())
+            self.agent.core.exchanged(self._claims, self.peer, self.agent.clock())
+            self.agent._post(Mail())
             self._claims = []
             if self.to:
                 self.conn.close("exchanged")
 
     def _council(self, name: str) -> None:
-        council_server = self.party.council_server
+        council_server = self.agent.council_server
         self._stays(council_server.welcome(self.conn, name) if council_server is not None else None, name)
 
     def _desk(self) -> Desk | None:
         from cherrygrade.fleet.carriers.operator import MOST_OPERATORS, Desk
 
-        party = self.party
-        if party.config is None or party.council_server is None or len(party.desks) >= MOST_OPERATORS:
+        agent = self.agent
+        if agent.config is None or agent.council_server is None or len(agent.desks) >= MOST_OPERATORS:
             return None
-        desk = Desk(party.config, party.council_server, self.conn, lambda: party.desks.pop(desk, None))
-        party.desks[desk] = None
+        desk = Desk(agent.config, agent.council_server, self.conn, lambda: agent.desks.pop(desk, None))
+        agent.desks[desk] = None
         return desk
 
     def _stays(self, guest: Guest | Giver | Desk | None, name: str) -> None:
@@ -483,8 +483,8 @@
         self.peer = name
         if self._timer is not None:
             self._timer.cancel()
-        self.party.streams.pop(self, None)
-        self.conn.send(Welcome(VERSION, self.party.name))
+        self.agent.streams.pop(self, None)
+        self.conn.send(Welcome(VERSION, self.agent.name))
 
     def writable(self, conn: Connection) -> None:
         pass
@@ -494,4 +494,4 @@
             self.guest.closed(conn, why)
         if self._timer is not None:
             self._timer.cancel()
-        self.party.streams.pop(self, None)
+        self.agent.streams.pop(self, None)
--- a/cherrygrade/fleet/carriers/config.py
+++ b/cherrygrade/fleet/carriers/config.py
@@ -144,7 +144,7 @@
 
 
 class Giver(Framed):
-    """One that fetches from here; the party's stream hands its frames on."""
+    """One that fetches from here; the agent's stream hands its frames on."""
 
     def __init__(self, config: Configuration, conn: Connection) -> None:
         super().__init__(conn)
@@ -255,7 +255,7 @@
             return None
 
     def ready(self, council_server: CouncilServer) -> None:
-        """The party's sockets are there."""
+        """The agent's sockets are there."""
         self.council_server = council_server
         self.agreed()
         self._set()
--- a/cherrygrade/fleet/carriers/council_server.py
+++ b/cherrygrade/fleet/carriers/council_server.py
@@ -130,7 +130,7 @@
 
 
 class Guest(Line):
-    """One that came in: the party's stream hands its frames on."""
+    """One that came in: the agent's stream hands its frames on."""
 
     def __init__(self, council_server: CouncilServer, conn: Connection, name: str) -> None:
         super().__init__(council_server, name)
--- a/cherrygrade/fleet/carriers/operator.py
+++ b/cherrygrade/fleet/carriers/operator.py
@@ -66,7 +66,7 @@
 
 
 class Desk(Framed):
-    """One person's stream; the party's stream hands its frames on."""
+    """One person's stream; the agent's stream hands its frames on."""
 
     def __init__(
         self,
--- a/cherrygrade/fleet/members/core.py
+++ b/cherrygrade/fleet/members/core.py
@@ -1,7 +1,7 @@
 """The fleet as one dispatcher takes part in it: pages and time in, pages out.
 
 Free of I/O, clock and chance: the same code plays in thousands in one process and alone in one dispatcher
-(`party.py`). Times are ms of any one clock; births are Unix ms.
+(`agent.py`). Times are ms of any one clock; births are Unix ms.
 """
 
 from __future__ import annotations
--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -30,8 +30,8 @@
 from cherrygrade.wire.messages import Errored, Leaving, Ok, ReadRpc, Rejected, WriteRpc
 
 if TYPE_CHECKING:
+    from cherrygrade.fleet.carriers.agent import FleetAgent
     from cherrygrade.fleet.carriers.company import Fellows
-    from cherrygrade.fleet.carriers.party import Party
     from cherrygrade.fleet.config.versions import Version
     from cherrygrade.gateway.overlay import Overlay
 
@@ -72,7 +72,7 @@
         self.nodes = Nodes()
         self.wheel: Wheel[Out] = Wheel()
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self.party: Party | None = None
+        self.agent: FleetAgent | None = None
         self.overlay = overlay
         self.company: Fellows | None = None
         self._unsure = False  # what the fleet's configuration is: then this one has no part
@@ -80,13 +80,13 @@
         if overlay is not None:
             self._in_force = (overlay.own, None, 0)
         if fleet is not None:
+            from cherrygrade.fleet.carriers.agent import FleetAgent
             from cherrygrade.fleet.carriers.company import (
                 Fellows,  # where no fleet is named, none of it is loaded
             )
-            from cherrygrade.fleet.carriers.party import Party
 
             seat, loop = place.number, asyncio.get_running_loop()
-            self.party = Party(
+            self.agent = FleetAgent(
                 fleet,
                 place.name,
                 seat,
@@ -99,7 +99,7 @@
                 self.in_force if overlay is not None else None,
                 overlay.judge if overlay is not None else None,
             )
-            self.company = Fellows(self.party.core, seat)
+            self.company = Fellows(self.agent.core, seat)
         dispatcher = make(
             seed=place.seed,
             number=place.number,
@@ -152,9 +152,9 @@
         host = self.place.listen.rpartition(":")[0]
         if self.words is not None:
             await self.words.start()
-        if self.party is not None:  # a version that was kept is in force before anybody is served
-            await self.party.start()
-            if self.party.config is not None and self.company is not None:
+        if self.agent is not None:  # a version that was kept is in force before anybody is served
+            await self.agent.start()
+            if self.agent.config is not None and self.company is not None:
                 self._unsure = not self._sure()
                 self.company.has = self.company.has and not self._unsure
         self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
@@ -175,8 +175,8 @@
             return
         self.leaving = True
         self.log("leaving", held=len(self.held))
-        if self.party is not None:
-            self.party.leave()
+        if self.agent is not None:
+            self.agent.leave()
         if self._server is not None:
             self._server.close()
         for session in self.sessions:
@@ -189,8 +189,8 @@
         """A line each minute of what ranges and room came to; none of what did nothing."""
         self.ranges.tell()
         self.rooms.tell()
-        if self.party is not None:
-            self.log("fleet", side=self.party.core.side.value, **self.party.counts())
+        if self.agent is not None:
+            self.log("fleet", side=self.agent.core.side.value, **self.agent.counts())
         if self.words is not None:
             words, module = self.words, self.rounds.module
             counts = {"said": words.said, "lost": words.lost, "dropped": words.dropped}
@@ -222,8 +222,8 @@
         self.follower.close()
         if self.words is not None:
             self.words.close()
-        if self.party is not None:
-            self.party.close()
+        if self.agent is not None:
+            self.agent.close()
         self._tell()
         self.ranges.close()
         self.watch.close()
@@ -422,7 +422,7 @@
 
     def _sure(self) -> bool:
         """Whether it is known here what the fleet's configuration is."""
-        config = self.party.config if self.party is not None else None
+        config = self.agent.config if self.agent is not None else None
         return config is None or (config.replica is not None and config.replica.sure)
 
     def _go_over(self, site: Site, version: Version | None, stage: int) -> None:
@@ -431,7 +431,7 @@
         from cherrygrade.fleet.config.parts import parts
         from cherrygrade.gateway.inforce import put, terms
 
-        assert self.party is not None and self.company is not None
+        assert self.agent is not None and self.company is not None
         sure = self._sure()
         old = version.old if version is not None and stage % 2 == 0 else None
         into = terms(site, parts(self.place.number, divisors(site), old, sure), old)
@@ -452,7 +452,7 @@
         self._in_force, self._unsure = (site, version, stage), not sure
         self.trade, self.bounds = into.trade, site.bounds
         self.come_back_ms = self.watch.come_back_ms = into.bearings.permits.come_back_ms
-        self.party.core.record = max(into.counts)
+        self.agent.core.record = max(into.counts)
         self.rounds.stir()
 
     def _held(self) -> list[Held]:
@@ -479,9 +479,9 @@
     def before_round(self, now: float) -> None:
         if self._unsure and self._in_force is not None and self._sure():
             self._go_over(*self._in_force)
-        if self.party is not None:
+        if self.agent is not None:
             for send in self.rounds.inbox.answers:
-                self.party.met(send)
+                self.agent.met(send)
         for out in self.wheel.due(now):
             self.links[out.node].give_up(out, Outcome.TIMED_OUT)
 
@@ -555,8 +555,8 @@
         self.follower.ask_map(volume, first, count)
 
     def tell(self, peer: int | None, payload: bytes) -> None:
-        if self.party is not None:
-            self.party.tell(peer, payload)
+        if self.agent is not None:
+            self.agent.tell(peer, payload)
         elif self.words is not None:
             self.words.tell(peer, payload)
 
--- a/cherrygrade/lab/scale/follow.py
+++ b/cherrygrade/lab/scale/follow.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cherrygrade.fleet.carriers.party import Party
+from cherrygrade.fleet.carriers.agent import FleetAgent
 from cherrygrade.fleet.config.replica import Does, Gave, Replica
 from cherrygrade.fleet.config.versions import Version
 from cherrygrade.lab.scale.rows import Row
@@ -32,9 +32,9 @@
 
         return in_force
 
-    def look(self, member: int, life: int, party: Party) -> None:
+    def look(self, member: int, life: int, agent: FleetAgent) -> None:
         """What it says by its pages, whatever came to `in_force`."""
-        replica = party.config.replica if party.config is not None else None
+        replica = agent.config.replica if agent.config is not None else None
         if replica is not None and (replica.stage or member in self._last):
             self._note(member, life, replica.stage, f"{replica.mark:016x}")
 
@@ -44,18 +44,18 @@
             self._last[member] = now
             self.rows.append(Row(self.clock(), member, life, stage, mark))
 
-    def broken(self, party: Party) -> None:
+    def broken(self, agent: FleetAgent) -> None:
         """A planted breakage, at this member."""
-        replica = party.config.replica if party.config is not None else None
+        replica = agent.config.replica if agent.config is not None else None
         if replica is not None and self.breaks == TAKES_ANY:
             _takes_any(replica)
         elif replica is not None and self.breaks == GOES_BACK:
             _goes_back(replica)
 
 
-def state(party: Party) -> dict[str, Any]:
+def state(agent: FleetAgent) -> dict[str, Any]:
     """What this member counts, and is on; -1 and zeros where it follows none."""
-    config = party.config
+    config = agent.config
     if config is None or config.replica is None:
         return {"in_force": -1, "asked_voters": 0, "asked_members": 0, "fetched_bytes": 0, "given_bytes": 0}
     replica = config.replica
--- a/cherrygrade/lab/scale/host.py
+++ b/cherrygrade/lab/scale/host.py
@@ -1,6 +1,6 @@
 """One process of the scale run: hollow dispatchers on one event loop, led by lines on standard input.
 
-A hollow dispatcher is the product's own `Party` with whatever it starts by its settings (members, the
+A hollow dispatcher is the product's own `FleetAgent` with whatever it starts by its settings (members, the
 council's asker, leases), on sockets of its own address, without a decision module and without clients.
 """
 
@@ -18,7 +18,7 @@
 import msgspec
 import psutil
 
-from cherrygrade.fleet.carriers.party import Party
+from cherrygrade.fleet.carriers.agent import FleetAgent
 from cherrygrade.fleet.members.roll import Claim, Facts, Standing
 from cherrygrade.lab.scale.follow import Follow
 from cherrygrade.lab.scale.follow import state as followed
@@ -93,22 +93,22 @@
         self.told, self.between, self.base_kib = told, between, base_kib
         self.scale = told.scale
         self.zones = [one.zone for one in seats(told.scale)]
-        self.members: dict[int, Party] = {}
+        self.members: dict[int, FleetAgent] = {}
         self.lives: dict[int, int] = {}
         self.samples: list[dict[str, Any]] = []
         self.lateness = Lateness()
         self.follow = Follow(self.now, told.breaks)
-        self._ghosts: list[Party] = []
+        self._ghosts: list[FleetAgent] = []
         self._process = psutil.Process()
 
     def now(self) -> float:
         return asyncio.get_running_loop().time() * 1000.0
 
-    def _make(self, number: int, birth: int) -> Party:
+    def _make(self, number: int, birth: int) -> FleetAgent:
         scale, told = self.scale, self.told
         fleet = fleet_of(scale, number, self.zones[number], told.port, told.receiver)
         life = self.lives[number] = self.lives.get(number, 0) + 1
-        return Party(
+        return FleetAgent(
             fleet,
             f"d{number}",
             number,
@@ -134,9 +134,9 @@
     async def start(self) -> None:
         known = self._first_claims()
         for number in self.told.numbers:
-            party = self.members[number] = self._make(number, self.told.born + number)
-            party.core.exchanged(_claims.decode(known), "", self.now())  # each its own copy of it
-            await party.start()
+            agent = self.members[number] = self._make(number, self.told.born + number)
+            agent.core.exchanged(_claims.decode(known), "", self.now())  # each its own copy of it
+            await agent.start()
         self.follow.broken(self.members[self.told.numbers[0]])
         gc.collect()
         gc.freeze()  # what stands for the whole run is not looked through again, by forty at once
@@ -144,31 +144,31 @@
     def kill(self, numbers: list[int]) -> None:
         """As a process that is killed: nothing more is said, all sockets are gone."""
         for number in numbers:
-            party = self.members.pop(number, None)
-            if party is None:
+            agent = self.members.pop(number, None)
+            if agent is None:
                 continue
             if self.told.breaks == "answers for the dead":
-                self._ghosts.append(party)
+                self._ghosts.append(agent)
                 continue
-            end(party)
+            end(agent)
 
     async def back(self, numbers: list[int]) -> None:
         for number in numbers:
-            party = self.members[number] = self._make(number, int(time.time() * 1000.0))
-            await party.start()
+            agent = self.members[number] = self._make(number, int(time.time() * 1000.0))
+            await agent.start()
 
     def state(self) -> dict[str, Any]:
         """What members take themselves for; for pacing the run and for sides."""
         found: dict[str, Any] = {}
-        for number, party in self.members.items():
-            core = party.core
+        for number, agent in self.members.items():
+            core = agent.core
             found[str(number)] = {
                 "digest": f"{core.roll.digest:016x}",
                 "living": len(core.roll.living()),
                 "side": core.side.value,
                 "entries": len(core.roll.members),
-                "held": len(party.tasks.holding.held) if party.tasks is not None else 0,
-                **followed(party),
+                "held": len(agent.tasks.holding.held) if agent.tasks is not None else 0,
+                **followed(agent),
             }
         return found
 
@@ -177,11 +177,11 @@
         waited = waited_ms()
         late, self.lateness.second = sorted(self.lateness.second), []
         counts = {number: list(self.between.counts.get(number, [0] * len(COUNTS))) for number in self.members}
-        for number, party in self.members.items():
-            tasks, council_server = party.tasks, party.council_server
+        for number, agent in self.members.items():
+            tasks, council_server = agent.tasks, agent.council_server
             counts[number].append(council_server.said_bytes if council_server is not None else 0)
             counts[number].append(len(tasks.holding.held) if tasks is not None else 0)
-            self.follow.look(number, self.lives[number], party)
+            self.follow.look(number, self.lives[number], agent)
         self.samples.append(
             {
                 "at": self.now(),
@@ -225,8 +225,8 @@
             if self.told.breaks != "heals never":
                 self.between.ways.cuts.pop(str(line["name"]), None)
         elif do == "round":  # those of the first were shuffled before real members were known
-            for party in self.members.values():
-                party.core.probing.order.clear()
+            for agent in self.members.values():
+                agent.core.probing.order.clear()
         elif do == "state":
             return self.state()
         else:
@@ -234,13 +234,13 @@
         return None
 
 
-def end(party: Party) -> None:
-    for stream in [*party.streams]:
+def end(agent: FleetAgent) -> None:
+    for stream in [*agent.streams]:
         stream.conn.abort("killed")
-    if party.council_server is not None:
-        for line in [*party.council_server.lines.values(), *party.council_server.guests]:
+    if agent.council_server is not None:
+        for line in [*agent.council_server.lines.values(), *agent.council_server.guests]:
             line.conn.abort("killed")
-    party.close()
+    agent.close()
 
 
 async def serve(told: Told, base_kib: int, loop: HeldLoop) -> None:
@@ -260,8 +260,8 @@
         for task in tasks:
             task.cancel()
         Path(told.result).write_bytes(msgspec.msgpack.encode(host.result()))
-        for party in [*host.members.values(), *host._ghosts]:
-            end(party)
+        for agent in [*host.members.values(), *host._ghosts]:
+            end(agent)
 
 
 def main() -> None:
--- a/cherrygrade/lab/virtual/yard.py
+++ b/cherrygrade/lab/virtual/yard.py
@@ -1,11 +1,11 @@
-"""A fleet of parties in virtual time: the product's own code on a network that does what it is told."""
+"""A fleet of agents in virtual time: the product's own code on a network that does what it is told."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import Any
 
-from cherrygrade.fleet.carriers.party import Party
+from cherrygrade.fleet.carriers.agent import FleetAgent
 from cherrygrade.fleet.members.roll import Standing
 from cherrygrade.site import Fleet, Origin
 from cherrygrade.virtual.datagrams import Rain
@@ -19,23 +19,23 @@
 class Yard:
     def __init__(self, network: Network, count: int, seed: int, keep_ms: float = 600_000.0) -> None:
         self.network, self.count, self.seed, self.keep_ms = network, count, seed, keep_ms
-        self.parties: dict[int, tuple[Process, Party]] = {}
+        self.agents: dict[int, tuple[Process, FleetAgent]] = {}
         self.births = 0
         self.words: list[tuple[int, int, bytes]] = []
 
     def now(self) -> float:
         return self.network.now()
 
-    async def start(self, number: int, name: str = "", host: str = "", seat: int | None = None) -> Party:
+    async def start(self, number: int, name: str = "", host: str = "", seat: int | None = None) -> FleetAgent:
         self.births += 1000
         process = Process(f"d{number}")
         place = f"{host or f'10.0.0.{number}'}:{PORT}"
         contacts = [f"10.0.0.{at}:{PORT}" for at in (0, 1)]
-        made: list[Party] = []
+        made: list[FleetAgent] = []
 
         async def begin() -> None:
             loop = asyncio.get_running_loop()
-            party = Party(
+            agent = FleetAgent(
                 Fleet("yard", place, contacts=contacts, zone=f"z{number % 3}", keep_ms=self.keep_ms),
                 name or f"d{number}",
                 number if seat is None else seat,
@@ -46,25 +46,25 @@
                 lambda peer, word: self.words.append((number, peer, word)),
                 lambda event, **facts: None,
             )
-            made.append(party)
-            await party.start()
+            made.append(agent)
+            await agent.start()
 
         await asyncio.get_running_loop().create_task(begin(), context=process.context())
-        self.parties[number] = (process, made[0])
+        self.agents[number] = (process, made[0])
         return made[0]
 
     async def all_start(self) -> None:
         for number in range(self.count):
             await self.start(number)
 
-    def kill(self, number: int) -> Party:
-        process, party = self.parties.pop(number)
+    def kill(self, number: int) -> FleetAgent:
+        process, agent = self.agents.pop(number)
         self.network.kill(process)
-        return party
+        return agent
 
     def cut(self, some: set[int], one_way: bool = False) -> None:
         for one in some:
-            for other in self.parties.keys() - some:
+            for other in self.agents.keys() - some:
                 self.network.deaf.add((f"d{one}", f"d{other}"))
                 if not one_way:
                     self.network.deaf.add((f"d{other}", f"d{one}"))
@@ -73,11 +73,11 @@
         self.network.deaf.clear()
 
     def cores(self) -> dict[int, Any]:
-        return {number: party.core for number, (_, party) in self.parties.items()}
+        return {number: agent.core for number, (_, agent) in self.agents.items()}
 
     def equal(self) -> bool:
         cores = self.cores().values()
-        whole = all(len(core.roll.living()) == len(self.parties) for core in cores)
+        whole = all(len(core.roll.living()) == len(self.agents) for core in cores)
         return whole and len({core.roll.digest for core in cores}) == 1
 
     def called(self, name: str, standing: Standing, birth: int | None = None) -> set[int]:
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -110,7 +110,7 @@
         "lanes": [lane.tight for lane in [*module.lanes.values(), module.unplaced]],
         "rooms": (dict(rooms._works), {name: (one[0].weight, one[1]) for name, one in rooms._shares.items()}),
         "store": (rooms.store.in_share, rooms.store.beyond),
-        "record": gateway.party.core.record,
+        "record": gateway.agent.core.record,
         "stage": gateway._in_force[2],
     }
 
@@ -308,7 +308,7 @@
         assert isinstance(await client.write("write", "w", "k", b"x", shard=0, deadline_ms=500), Ok)
         limited = await client.write("write", "v", "k", b"x", shard=0, deadline_ms=500)
         assert not isinstance(limited, Ok)
-        gateway.party.config.replica._sure = True  # witnesses told it
+        gateway.agent.config.replica._sure = True  # witnesses told it
         assert isinstance(await client.write("write", "v", "k", b"x", shard=0, deadline_ms=900), Ok)
         assert not gateway.company.yields
 
@@ -324,7 +324,7 @@
         due = gateway.rounds.module.volumes["v"]
         due.pass_time(gateway.clock())
         assert due.store > 20.0  # earned by a part that it did not have
-        gateway.party.config.replica._sure = True
+        gateway.agent.config.replica._sure = True
         gateway.rounds.stir()
         await asyncio.sleep(0.01)
         assert due.store < 5.0
@@ -348,13 +348,13 @@
     async def story(house: House) -> None:
         one = One(house, tmp_path)
         gateway = await one.open(2, own=OWN.replace('voters: ["d0"]', 'voters: ["d9"]'))
-        gateway.party.config.replica._sure = True
+        gateway.agent.config.replica._sure = True
         old = gateway.overlay.judge("", "")[1]
         assert old == Divisors(3, (("v", 3), ("w", 2)))
         more, fewer = "place: dispatchers: 5", "place: dispatchers: 2"
         assert await gateway.in_force(version(1, more, old), 2) == ""
         assert gateway.company.counts == (3, 5) and gateway.trade.volumes["v"].hosts == 5
-        assert gateway.party.core.record == 5 and not gateway.company.yields
+        assert gateway.agent.core.record == 5 and not gateway.company.yields
         assert await gateway.in_force(version(1, more, old), 3) == ""
         assert gateway.company.counts == (5,)
         grown = gateway.overlay.judge("", more)[1]
@@ -363,7 +363,7 @@
         assert gateway.company.yields and gateway.place.number == 2  # outside of the new count
         assert await gateway.in_force(version(2, fewer, grown), 5) == ""
         assert gateway.company.counts == (2,) and gateway.company.yields
-        assert gateway.party.core.record == 2
+        assert gateway.agent.core.record == 2
         client = house.client(gateway)
         assert isinstance(await client.write("write", "w", "k", b"x", shard=0, deadline_ms=900), Ok)
 
@@ -375,9 +375,9 @@
         one = One(house, tmp_path)
         gateway = await one.open()
         await one.sure(gateway)
-        mark = gateway.party.core.roll.own.facts.settings
+        mark = gateway.agent.core.roll.own.facts.settings
         assert await gateway.in_force(version(1, ALL), 3) == ""
-        assert gateway.party.core.roll.own.facts.settings == mark == origin_of(gateway.overlay.own).settings
+        assert gateway.agent.core.roll.own.facts.settings == mark == origin_of(gateway.overlay.own).settings
 
     run(story)
 
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -1,4 +1,4 @@
-"""The fleet's promises in virtual time: the product's own parties and streams, faults between them, by
+"""The fleet's promises in virtual time: the product's own agents and streams, faults between them, by
 seed."""
 
 from __future__ import annotations
@@ -24,11 +24,11 @@
         await yard.until(yard.equal, 8000.0)
         await asyncio.sleep(1.0)
         dead = yard.kill(7)
-        await yard.until(lambda: yard.called("d7", Standing.FAILED) == {*yard.parties}, KNOWN_MS)
+        await yard.until(lambda: yard.called("d7", Standing.FAILED) == {*yard.agents}, KNOWN_MS)
         assert not any(7 in core.keepers.seats for core in yard.cores().values())
         born = (await yard.start(7)).core.birth
         assert born > dead.core.birth
-        await yard.until(lambda: yard.called("d7", Standing.ALIVE, born) == {*yard.parties}, 3000.0)
+        await yard.until(lambda: yard.called("d7", Standing.ALIVE, born) == {*yard.agents}, 3000.0)
         await yard.until(yard.equal, 3000.0)
 
     play(story, 20, seed, ROUGH)
@@ -40,7 +40,7 @@
         await yard.all_start()
         await yard.until(yard.equal, 8000.0)
         for turn in range(3):
-            still = [yard.parties[number][0] for number in range(turn, 20, 10)]
+            still = [yard.agents[number][0] for number in range(turn, 20, 10)]
             for process in still:
                 process.stop()
             await asyncio.sleep(2.0)
@@ -94,7 +94,7 @@
         await yard.until(yard.equal, 8000.0)
         yard.cut({4}, one_way=True)
         await asyncio.sleep(8.0)
-        assert yard.called("d4", Standing.FAILED) >= {*yard.parties} - {4}
+        assert yard.called("d4", Standing.FAILED) >= {*yard.agents} - {4}
         # It hears that it is called dead, and is not believed, since nobody hears it.
         assert yard.cores()[4].refuted > 0
         yard.heal()
@@ -112,7 +112,7 @@
                 yard.kill(number)
         # Nine that live probe one of 30 in turn each: longer than for one death.
         await yard.until(yard.equal, 12000.0)
-        seats = {*yard.parties}
+        seats = {*yard.agents}
         for core in yard.cores().values():
             assert {core.keepers.keeper(node) for node in range(300)} <= seats
             assert core.record == 30
@@ -151,8 +151,8 @@
     async def story(yard: Yard) -> None:
         await yard.all_start()
         await yard.until(yard.equal, 8000.0)
-        yard.parties[1][1].tell(4, b"to one")
-        yard.parties[2][1].tell(None, b"to all")
+        yard.agents[1][1].tell(4, b"to one")
+        yard.agents[2][1].tell(None, b"to all")
         await asyncio.sleep(0.1)
         to_all = [(number, 2, b"to all") for number in range(6) if number != 2]
         assert sorted(yard.words) == sorted([(4, 1, b"to one"), *to_all])
@@ -164,12 +164,12 @@
     async def story(yard: Yard) -> None:
         await yard.all_start()
         await yard.until(yard.equal, 8000.0)
-        party = yard.parties[0][1]
-        stranger = type(party.book)("another")
+        agent = yard.agents[0][1]
+        stranger = type(agent.book)("another")
         from cherrygrade.fleet.members.pages import Probe
 
-        party.came(stranger.write(Probe("x0", 1, 1, 1)), ("10.0.0.99", 7500))
-        assert party.book.wrong == {"another fleet": 1} and len(party.core.roll.living()) == 4
+        agent.came(stranger.write(Probe("x0", 1, 1, 1)), ("10.0.0.99", 7500))
+        assert agent.book.wrong == {"another fleet": 1} and len(agent.core.roll.living()) == 4
 
     play(story, 4)
 
