--- a/benchmarks/fleet_members.py
+++ b/benchmarks/fleet_members.py
@@ -22,7 +22,7 @@
 from cherrygrade.lab.rig import report
 from cherrygrade.lab.rig.run import play as play_day
 from cherrygrade.lab.virtual.many import death
-from cherrygrade.lab.virtual.yard import Yard, play
+from cherrygrade.lab.virtual.virtual_fleet import VirtualFleet, play
 from cherrygrade.virtual.datagrams import Rain
 
 DEATH_MS, HEAL_MS, REST_BYTES, CORE_PERMILLE, SERVICE = 5000.0, 5000.0, 2048.0, 5.0, 0.99
@@ -82,21 +82,21 @@
     """Member-hours, accusations, deaths: 5% of datagrams lost, every tenth member standing still for 2 s
     in turn."""
 
-    async def story(yard: Yard) -> tuple[float, int, int]:
-        await yard.all_start()
-        await yard.until(yard.equal, 20000.0)
-        begun, turn = yard.now(), 0
-        while yard.now() - begun < seconds * 1000.0:
+    async def story(virtual_fleet: VirtualFleet) -> tuple[float, int, int]:
+        await virtual_fleet.all_start()
+        await virtual_fleet.until(virtual_fleet.equal, 20000.0)
+        begun, turn = virtual_fleet.now(), 0
+        while virtual_fleet.now() - begun < seconds * 1000.0:
             turn += 1
-            still = [yard.agents[number][0] for number in range(turn % 10, count, 10)]
+            still = [virtual_fleet.agents[number][0] for number in range(turn % 10, count, 10)]
             for process in still:
                 process.stop()
             await asyncio.sleep(2.0)
             for process in still:
                 process.go_on()
             await asyncio.sleep(2.0)
-        probings = [core.probing for core in yard.cores().values()]
-        hours = count * (yard.now() - begun) / 3_600_000.0
+        probings = [core.probing for core in virtual_fleet.cores().values()]
+        hours = count * (virtual_fleet.now() - begun) / 3_600_000.0
         return hours, sum(one.accusations for one in probings), sum(one.deaths for one in probings)
 
     found: tuple[float, int, int] = play(story, count, 1, Rain(lost=0.05, jitter_ms=2.0))
--- a/cherrygrade/lab/virtual/yard.py
+++ b/cherrygrade/lab/virtual/virtual_fleet.py
@@ -16,7 +16,7 @@
 PORT = 7500
 
 
-class Yard:
+class VirtualFleet:
     def __init__(self, network: Network, count: int, seed: int, keep_ms: float = 600_000.0) -> None:
         self.network, self.count, self.seed, self.keep_ms = network, count, seed, keep_ms
         self.agents: dict[int, tuple[Process, FleetAgent]] = {}
@@ -36,7 +36,7 @@
         async def begin() -> None:
             loop = asyncio.get_running_loop()
             agent = FleetAgent(
-                Fleet("yard", place, contacts=contacts, zone=f"z{number % 3}", keep_ms=self.keep_ms),
+                Fleet("virtual_fleet", place, contacts=contacts, zone=f"z{number % 3}", keep_ms=self.keep_ms),
                 name or f"d{number}",
                 number if seat is None else seat,
                 self.count,
@@ -105,7 +105,7 @@
         network = Network(loop, seed)
         network.rain = rain
         with guarded():
-            return loop.run_until_complete(story(Yard(network, count, seed, keep_ms)))
+            return loop.run_until_complete(story(VirtualFleet(network, count, seed, keep_ms)))
     finally:
         asyncio.set_event_loop(None)
         loop.close()
