--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -1,4 +1,4 @@
-"""The dispatcher's process: listener, sessions, links, follower, rounds, and their life from start to end."""
+"""The dispatcher's process: listener, sessions, links, register watch, rounds, and their life from start to end."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 from cherrygrade.door import Nodes
 from cherrygrade.extents.carrier import Carrier
-from cherrygrade.gateway.follower import Follower
 from cherrygrade.gateway.lateness import Lateness
 from cherrygrade.gateway.life import LEFT_BROKEN, LEFT_BY_FORCE, LEFT_CLEAN, Alarm, module_broke
 from cherrygrade.gateway.links import Link, NodeLine
+from cherrygrade.gateway.register_watch import RegisterWatch
 from cherrygrade.gateway.roster import Book
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.sessions import Session
@@ -117,7 +117,7 @@
         self.rooms = Rooms(trade, bearings.earnings, pressed, pace, bounds.most_body, log)
         self.rounds = Rounds(dispatcher, self, self._crashed, lambda text: log("module", text=text))
         self.ranges = Carrier(self, cuts or Cuts(), self._ask_map)
-        self.follower = Follower(
+        self.register_watch = RegisterWatch(
             place.register,
             place.name,
             Book(self.nodes),
@@ -158,10 +158,10 @@
                 self._unsure = not self._sure()
                 self.company.has = self.company.has and not self._unsure
         self._server = await listen(lambda: Session(self).conn, self.place.listen, BACKLOG, ABREAST)
-        self.follower.start()
+        self.register_watch.start()
         if self.watch.pace.watch:
             self.watch.start()
-        if self.follower.must_ask:
+        if self.register_watch.must_ask:
             self.rounds.stir()  # the first round asks for the list
         self._tell()
         bound: int = self._server.sockets[0].getsockname()[1]
@@ -219,7 +219,7 @@
             self.final(held, Errored(held.ask.id, "dispatcher ends"))
         if self._server is not None:
             self._server.close()
-        self.follower.close()
+        self.register_watch.close()
         if self.words is not None:
             self.words.close()
         if self.agent is not None:
@@ -462,7 +462,7 @@
             found += [one] if isinstance(one, Held) else one.pieces
         return found
 
-    # What the register's follower calls.
+    # What the register watch calls.
 
     def _heard(self, nodes: list[Node], answered: bool | None) -> None:
         for node in nodes:
@@ -552,7 +552,7 @@
         self._look_done()
 
     def _ask_map(self, volume: str, first: int, count: int) -> None:
-        self.follower.ask_map(volume, first, count)
+        self.register_watch.ask_map(volume, first, count)
 
     def tell(self, peer: int | None, payload: bytes) -> None:
         if self.agent is not None:
@@ -561,4 +561,4 @@
             self.words.tell(peer, payload)
 
     def ask_list(self, push: bool) -> None:
-        self.follower.ask(push)
+        self.register_watch.ask(push)
--- a/cherrygrade/gateway/follower.py
+++ b/cherrygrade/gateway/register_watch.py
@@ -19,7 +19,7 @@
 ANSWER_MS = 2000.0  # an ask that is not answered by then has come to nothing
 
 
-class Follower:
+class RegisterWatch:
     """`heard(nodes, answered)` is told of each word: nodes learned of, and whether an ask was answered
     (True), came to nothing (False), or neither (None)."""
 
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -409,7 +409,7 @@
         await house.node()
         permits = Permits(most_sends=4, come_back_ms=500.0, must_ask=True, ask_within_ms=300.0)
         gateway = await house.gateway(permits=permits)
-        assert not gateway.follower._asked
+        assert not gateway.register_watch._asked
         asked = [line for line in house.register.record.lines if line[1] == "told"]
         for door in [*house.register.doors]:
             door.conn.abort("cut")
--- a/tests/test_watch_clock.py
+++ b/tests/test_watch_clock.py
@@ -121,7 +121,7 @@
         loop = asyncio.get_running_loop()
         self.loop, self.agent = loop, Agent(8500)
         self.listing = Listing(Nodes(), lambda unix: unix)
-        self.follower = DiscoveryClient(
+        self.register_watch = DiscoveryClient(
             "127.0.0.1:8500", "n0", self.listing, lambda: loop.time() * 1000.0, lambda nodes: None, self.log
         )
         self.events: list[str] = []
@@ -149,11 +149,11 @@
     async def whole() -> None:
         watched = Watched()
         await watched.agent.open()
-        watched.follower.start()
+        watched.register_watch.start()
         await watched.learns(1.0)
         await asyncio.sleep(3.1)
         await story(watched)
-        watched.follower.close()
+        watched.register_watch.close()
 
     try:
         Network(loop, 1)
@@ -229,7 +229,7 @@
         moved = Agent(8600)
         moved.version, moved.health = watched.agent.version + 1, "terminating"
         watched.agent = moved
-        watched.follower.move("127.0.0.1:8600")
+        watched.register_watch.move("127.0.0.1:8600")
         await asyncio.sleep(late_s)
         await moved.open()
         await watched.learns(MOVED_S - MARGIN_S - late_s)
