--- a/cherrygrade/gateway/process.py
+++ b/cherrygrade/gateway/process.py
@@ -1,4 +1,4 @@
-"""The dispatcher's process: listener, sessions, links, register watch, rounds, and their life from start to end."""
+"""The dispatcher's process: listener, sessions, links, the register's watch, rounds, and their life."""
 
 from __future__ import annotations
 
