--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from contextlib import suppress
 
 from standins.http_text import HttpText, read_message
 from standins.record import Record
@@ -34,6 +33,8 @@
         shard: the shard that it holds.
         hangs: while True, requests that have come are neither worked on nor answered; connections stay open.
         loses_answer: asked once for each answer: whether the work is done and nothing comes back.
+        spoils_answer: given the answer's bytes, what is sent in its place; None: the answer as it is. Behind
+            a spoilt answer the connection stays open and is of no further use.
         runs: how often each request id was run to its end.
         dial: host:port, once it listens.
     """
@@ -43,6 +44,7 @@
         self.name, self.shard, self.dial = name, shard, ""
         self.hangs = False
         self.loses_answer: Callable[[], bool] = lambda: False
+        self.spoils_answer: Callable[[bytes], bytes | None] = lambda answer: None
         self.runs: Counter[str] = Counter()
         self._work_ms = work_ms
         self._record = record
@@ -96,7 +98,7 @@
         if self.hangs:
             await asyncio.Event().wait()
         if shard not in (ANY_SHARD, self.shard) or self._waiting >= MAX_WAITING:
-            self._write(writer, "503 Service Unavailable", b"", "X-Rejected: 1\r\n")
+            writer.write(encode_answer("503 Service Unavailable", b"", "X-Rejected: 1\r\n"))
             self._record.write(self.name, "turned away", id=call_id)
             return
         self._waiting += 1
@@ -107,12 +109,16 @@
         if self.loses_answer():
             self._record.write(self.name, "ran, answer lost", id=call_id)
             await asyncio.Event().wait()
+        answer = encode_answer("200 OK", f"{call_id} {request.start[1]}".encode())
+        spoilt = self.spoils_answer(answer)
+        if spoilt is not None:
+            self._record.write(self.name, "ran, answer spoilt", id=call_id, sent=spoilt.decode("latin-1"))
+            writer.write(spoilt)
+            await asyncio.Event().wait()
         self._record.write(self.name, "ran and answered", id=call_id)
-        self._write(writer, "200 OK", f"{call_id} {request.start[1]}".encode())
-
-    @staticmethod
-    def _write(writer: asyncio.StreamWriter, status: str, body: bytes, fields: str = "") -> None:
-        with suppress(ConnectionError):
-            writer.write(
-                f"HTTP/1.1 {status}\r\n{fields}Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
-            )
+        writer.write(answer)
+
+
+def encode_answer(status: str, body: bytes, fields: str = "") -> bytes:
+    """Return the bytes of a complete answer."""
+    return f"HTTP/1.1 {status}\r\n{fields}Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
