Review stand-ins: clients record their connects, and a script that is told to end ends what it started

Cause: a record did not show which requests were the first on their connection, and SIGTERM to a script left its dispatchers running. Change: one line of the record more, and a handler for SIGTERM.

--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -91,6 +91,7 @@
         """Connect to the dispatcher at `dial`."""
         host, _, port = dial.rpartition(":")
         self._reader, self._writer = await asyncio.open_connection(host, int(port))
+        self._record.write(self.name, "connected", to=dial)
         self._task = asyncio.create_task(self._read())
 
     def send(self, *calls: Call) -> None:
--- a/review/standins/play.py
+++ b/review/standins/play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -69,6 +70,7 @@
         The exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
     record = Record(record_path)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that what was started is ended
     try:
         with tempfile.TemporaryDirectory() as folder:
             breaks = asyncio.run(_play(case, record, Path(folder)))
