--- a/review/standins/loads.py
+++ b/review/standins/loads.py
@@ -7,7 +7,7 @@
 
 from standins.clients import Call
 from standins.http_text import HttpText
-from standins.servers import key_of
+from standins.servers import ANY_SHARD, key_of
 
 WORK_MS = {
     "seat-read": 36.0,
@@ -16,6 +16,7 @@
     "member-read": 39.0,
     "visit-write": 68.0,
     "club-export": 97.0,
+    "session-write": 60.0,
 }
 """Mean work of a request by workload, from the middle of the ranges in the site files."""
 SPREAD = 0.5
@@ -50,3 +51,9 @@
 def member_read(shard: int) -> Call:
     """Return a member-read of kosice-main, which its client gives 2 s."""
     return Call("member-read", "premium", 0xC0 + shard, key_of(shard, next(_numbers)), 2000, shard)
+
+
+def session_write(number: int, body: bytes) -> Call:
+    """Return a session-write of montevideo-campus, which its client gives 3 s; equal numbers share a key."""
+    key = key_of(ANY_SHARD, number)
+    return Call("session-write", "preferente", 0xD0, key, 3000, ANY_SHARD, writes=True, body=body)
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -35,6 +35,7 @@
         loses_answer: asked once for each answer: whether the work is done and nothing comes back.
         spoils_answer: given the answer's bytes, what is sent in its place; None: the answer as it is. Behind
             a spoilt answer the connection stays open and is of no further use.
+        came_s: when the last byte of each request came, by id, in seconds since the start of the case.
         runs: how often each request id was run to its end.
         dial: host:port, once it listens.
     """
@@ -45,6 +46,7 @@
         self.hangs = False
         self.loses_answer: Callable[[], bool] = lambda: False
         self.spoils_answer: Callable[[bytes], bytes | None] = lambda answer: None
+        self.came_s: dict[str, float] = {}
         self.runs: Counter[str] = Counter()
         self._work_ms = work_ms
         self._record = record
@@ -94,6 +96,7 @@
         call_id = request.fields.get("x-call-id", "")
         budget_ms = request.fields.get("x-budget-ms", "")
         shard = shard_of_key(int(request.start[1].rpartition("/")[2], 16))
+        self.came_s.setdefault(call_id, self._record.now_s())
         self._record.write(self.name, "came", id=call_id, budget_ms=budget_ms, hangs=self.hangs)
         if self.hangs:
             await asyncio.Event().wait()
--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -65,3 +65,33 @@
     "zone": "kosice-room1",
     "zones": ["kosice-room1"],
 }
+
+MONTEVIDEO_CAMPUS: dict[str, Any] = {
+    "balancers": 1,
+    "ordinal": 0,
+    "classes": [
+        {"name": "session-read", "objectiveS": 0.4, "hardLimitS": 2.5, "importance": 2.0, "lateWorth": 0.2}
+        | {"effect": "retryable"},
+        {"name": "session-write", "objectiveS": 0.5, "hardLimitS": 3.0, "importance": 3.0, "lateWorth": 0.1}
+        | {"effect": "retryable", "oneAtATime": True},
+        {"name": "bulk-export", "objectiveS": 1.5, "hardLimitS": 5.0, "importance": 1.0, "lateWorth": 0.3}
+        | {"effect": "retryable"},
+    ],
+    "clients": {"marksRetry": False},
+    "extra": {"writes": [False, True, False], "meanUnits": 2.06, "largest": 8, "youngLimit": 30.0}
+    | {"shareWorth": 0.35, "beyondShare": 0.08, "meterPeriodS": 0, "saysOthers": False},
+    "grades": [
+        {"name": "basico", "usualRate": 40.0, "proportion": 1.0, "price": 0.72, "floorRate": 20.0},
+        {"name": "estandar", "usualRate": 80.0, "proportion": 1.0, "price": 1.2, "floorRate": 64.0},
+        {"name": "preferente", "usualRate": 100.0, "proportion": 1.0, "price": 1.4, "floorRate": 80.0},
+    ],
+    "limits": {"maxAttempts": 4, "connIdleS": 15.0, "connectTimeoutS": 0.25, "retryAfter": True}
+    | {"maxRetryAfterS": 1.0, "mayCancel": True, "secondCopies": False, "mayProbe": True},
+    "guarantees": {"drainGraceS": 2.0, "answerSlackS": 0.008, "coldShare": 0.18, "fallMultiple": 2.0}
+    | {"tipAfterS": 1.0, "warmWithinS": 17.0, "askWithinS": 10.0, "turnGapS": 0.1}
+    | {"spareAttempts": 3, "extraShare": 0.25, "resendSpanS": 5.0},
+    "membershipMode": "ask",
+    "weights": "none",
+    "zone": "hall-a",
+    "zones": ["hall-a", "hall-b", "hall-c"],
+}
