--- a/review/standins/loads.py
+++ b/review/standins/loads.py
@@ -19,6 +19,8 @@
     "session-write": 60.0,
 }
 """Mean work of a request by workload, from the middle of the ranges in the site files."""
+VOLUMES_OF_A_SERVER = 8
+"""Volumes of kosice-main with data on one server."""
 SPREAD = 0.5
 """Standard deviation of the logarithm of the work; the site files give coefficients of variation near it."""
 
@@ -49,8 +51,10 @@
 
 
 def member_read(shard: int) -> Call:
-    """Return a member-read of kosice-main, which its client gives 2 s."""
-    return Call("member-read", "premium", 0xC0 + shard, key_of(shard, next(_numbers)), 2000, shard)
+    """Return a member-read of kosice-main (its client gives it 2 s) of the shard's volumes in turn."""
+    number = next(_numbers)
+    volume = 0xC00 + VOLUMES_OF_A_SERVER * shard + number % VOLUMES_OF_A_SERVER
+    return Call("member-read", "premium", volume, key_of(shard, number), 2000, shard, units=2, hosts=4)
 
 
 def session_write(number: int, body: bytes) -> Call:
--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -52,9 +52,9 @@
     "extra": {"writes": [False, True, False], "meanUnits": 2.06, "largest": 8, "youngLimit": 52.0}
     | {"shareWorth": 0.3, "beyondShare": 0.05, "meterPeriodS": 0, "saysOthers": False},
     "grades": [
-        {"name": "zakladny", "usualRate": 40.0, "proportion": 1.0, "price": 0.8, "floorRate": 12.0}
-        | {"cap": 320.0, "capDepth": 480.0, "tolerance": 48.0},
-        {"name": "premium", "usualRate": 60.0, "proportion": 3.0, "price": 0.9, "floorRate": 72.0},
+        {"name": "zakladny", "usualRate": 10.0, "proportion": 1.0, "price": 0.8, "floorRate": 3.0}
+        | {"cap": 80.0, "capDepth": 120.0, "tolerance": 12.0},
+        {"name": "premium", "usualRate": 15.0, "proportion": 3.0, "price": 0.9, "floorRate": 18.0},
     ],
     "limits": {"maxAttempts": 3, "connIdleS": 15.0, "connectTimeoutS": 0.25, "retryAfter": True}
     | {"maxRetryAfterS": 1.0, "mayCancel": True, "secondCopies": True, "mayProbe": True},
