A response cut short by its Content-Length is not forwarded as a complete 200

Cause: NodeConnection._take_response saw bytes behind the response (`has_excess_bytes`), closed the connection for them, and handed the response on as OK all the same. The told length is the only mark of the end, and the bytes behind it are the rest of the body if that length is too small. Besides, the parser skips line ends behind a response without a callback, so a body that lost only its last line end was not noticed at all.

A probe of httptools shows no callback for line ends behind a response.

Change: ResponseReader gives the parser one response at a time and compares what follows with it; platform/response_end.py decides. A rejection (503, X-Rejected) in doubt no longer counts as not run. `counts` names the nodes in doubt.

The test test_bytes_after_a_response_are_not_used_for_the_next_request demanded that a response with noise behind it be forwarded, which cannot be kept apart from forwarding a cut one. Its cases stand in test_response_whose_end_is_in_doubt_is_not_forwarded_and_the_read_is_retried, which still demands that the connection is not used again, and besides the outcome, the retry, and that memory is returned.

Why it works: whatever follows a response in the same read is looked at before the response is used. What comes in a later read is as before: the idle connection is closed.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -82,7 +82,8 @@
     """What marked the end of a message."""
 
     NO_BODY = "neither length nor encoding"
-    LENGTH_KNOWN = "a length, or chunks with their end"
+    CONTENT_LENGTH = "as many bytes of body as the head tells"
+    CHUNKED = "the last chunk"
     UNTIL_CLOSE = "the orderly end of the connection"
 
 
@@ -218,9 +219,10 @@
         encoding = message.fields.get(b"transfer-encoding")
         if encoding is not None and encoding.lower() != b"chunked":
             raise HttpError(501, "no such transfer encoding is read here")
-        if length or encoding is not None:
-            message.framing = Framing.LENGTH_KNOWN
-        if length:
+        if encoding is not None:
+            message.framing = Framing.CHUNKED
+        elif length:
+            message.framing = Framing.CONTENT_LENGTH
             self._claim_body(int(length))
         if self._responses:
             message.status = self._parser.get_status_code()
--- a/cherrygrade/platform/connection_pool.py
+++ b/cherrygrade/platform/connection_pool.py
@@ -70,6 +70,8 @@
         """Number of pending connects that are not raced by another connect."""
         self.connect_count = 0
         """Number of connections established since the start."""
+        self.in_doubt_count = 0
+        """Number of responses since the start that may have been cut short; never reset."""
         self._resources = resources
         self._socket_budget = resources.socket_budget
         self._last_connect_was_reset = False
@@ -272,6 +274,11 @@
         """Finish an attempt as failed: its response is malformed, and the request may have run."""
         self.finish(attempt, Outcome.FAILED)
 
+    def response_in_doubt(self, attempt: InflightAttempt) -> None:
+        """Finish an attempt as failed: its response may be cut short, and the request may have run."""
+        self.in_doubt_count += 1
+        self.finish(attempt, Outcome.FAILED)
+
     def finish(self, attempt: InflightAttempt, outcome: Outcome, body: bytes | None = None) -> None:
         """Report the outcome of an attempt to the next round, with the body of its response, if any."""
         self._resources.timeout_wheel.remove(attempt, attempt.timer_slot)
--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -7,11 +7,16 @@
 import socket
 from typing import Protocol
 
-from cherrygrade.http.reader import BodyBudget, Framing, Message, MessageReader, closes_connection
+from cherrygrade.http.reader import BodyBudget, Framing, Message, closes_connection
+from cherrygrade.http.response_reader import ResponseReader, Trailing
 from cherrygrade.inflight import InflightAttempt
+from cherrygrade.platform.response_end import ResponseEnd, response_end
 from cherrygrade.platform.socket_events import SocketEvents
 from cherrygrade.scheduling.model import Outcome
 
+MAX_COPY_WAIT_MS = 10.0  # from a response with the start of a second copy behind it to the end of that copy
+REUSABLE_FRAMINGS = (Framing.CONTENT_LENGTH, Framing.CHUNKED)
+
 
 class NodeConnectionOwner(Protocol):
     """The part of the connection pool that its connections use."""
@@ -38,6 +43,9 @@
     def response_invalid(self, attempt: InflightAttempt) -> None:
         """Finish an attempt whose response is malformed."""
 
+    def response_in_doubt(self, attempt: InflightAttempt) -> None:
+        """Finish an attempt whose response may be cut short."""
+
     def finish(self, attempt: InflightAttempt, outcome: Outcome) -> None:
         """Finish an attempt that has no response."""
 
@@ -67,7 +75,8 @@
         self.idle_since_ms = 0.0
         """The time of the rounds' clock at which the last response arrived."""
         self._owner = owner
-        self._reader = MessageReader(responses=True, budget=owner.answer_budget)
+        self._reader = ResponseReader(owner.answer_budget)
+        self._copy_timer: asyncio.TimerHandle | None = None  # runs while a second copy is incomplete
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
 
@@ -99,33 +108,47 @@
             self.close()
             return
         self._reader.feed(bytes(self._owner.receive_buffer[:nbytes]))
-        if self._reader.messages:
-            self._take_response(attempt)
+        response = self._reader.response
+        if response is not None:
+            self._handle_response(attempt, response)
         elif self._reader.error is not None:
             self.attempt = None
             self.close()
             self._owner.response_invalid(attempt)
 
+    def _handle_response(self, attempt: InflightAttempt, response: Message) -> None:
+        """Finish the attempt with a complete response, unless bytes behind it leave its end in doubt."""
+        end = response_end(response.framing, self._reader.trailing)
+        if end is ResponseEnd.CERTAIN:
+            self._take_response(attempt)
+        elif end is ResponseEnd.IN_DOUBT:
+            self._reject_response(attempt)
+        elif self._copy_timer is None:
+            loop = asyncio.get_running_loop()
+            self._copy_timer = loop.call_later(MAX_COPY_WAIT_MS / 1000.0, self._reject_response, attempt)
+
+    def _reject_response(self, attempt: InflightAttempt) -> None:
+        """Finish the attempt without its response, whose end is in doubt."""
+        self.attempt = None
+        self.close()
+        self._owner.response_in_doubt(attempt)
+
     def _take_response(self, attempt: InflightAttempt) -> None:
-        reader = self._reader
-        response = reader.messages[0]
-        has_excess_bytes = len(reader.messages) > 1 or reader.within_message or reader.error is not None
-        for message in reader.messages:  # the owner takes the body at once
-            self._owner.answer_budget.release(message)
-        reader.messages.clear()
+        has_trailing_bytes = self._reader.trailing is not Trailing.NOTHING
+        response = self._reader.take_response()  # the owner takes the body at once
         self.attempt = None
-        ends_here = closes_connection(response) or response.framing is not Framing.LENGTH_KNOWN
+        ends_here = closes_connection(response) or response.framing not in REUSABLE_FRAMINGS
         # If the request was not fully sent, its remaining bytes would precede the next request.
-        if has_excess_bytes or ends_here or not self.is_fully_sent:
+        if has_trailing_bytes or ends_here or not self.is_fully_sent:
             self.close()
         self._owner.response_received(self, attempt, response)
 
     def eof_received(self) -> bool:
         """Handle the node's orderly close, which ends a response without a length; a reset does not."""
         attempt = self.attempt
-        if attempt is not None and not self.is_closed:
+        if attempt is not None and not self.is_closed and self._reader.response is None:
             self._reader.end()
-            if self._reader.messages:
+            if self._reader.response is not None:
                 self._take_response(attempt)
         return False
 
@@ -140,7 +163,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection, whichever side closed it."""
         self._transport = None
-        self._reader.release()
+        self._discard_response()
         attempt, self.attempt = self.attempt, None
         was_closed, self.is_closed = self.is_closed, True
         self._owner.connection_closed(self)
@@ -172,10 +195,17 @@
     def close(self) -> None:
         """Close at once, without reading more or sending buffered bytes."""
         self.is_closed = True
-        self._reader.release()
+        self._discard_response()
         if self._transport is not None:
             if self._socket is not None:
                 with contextlib.suppress(OSError):  # the node may have closed already
                     self._socket.shutdown(socket.SHUT_RDWR)
             self._transport.abort()
         self._owner.connection_closed(self)
+
+    def _discard_response(self) -> None:
+        """Return the memory of a response that was not taken, and stop waiting for its second copy."""
+        self._reader.release()
+        if self._copy_timer is not None:
+            self._copy_timer.cancel()
+            self._copy_timer = None
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -257,6 +257,7 @@
             nodes=len(self.endpoint_list.addresses),
             version=self.endpoint_list.version,
             connects=sum(pool.connect_count for pool in self.round_carrier.pools.values()),
+            responses_in_doubt=self.round_carrier.responses_in_doubt(),
         )
 
     # Called by discovery.
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -170,22 +170,6 @@
     run_case(tmp_path, case)
 
 
-@pytest.mark.parametrize(
-    "excess", [b"NOISE", encode_response(200, b"somebody else's"), b"\r\n", b"HTTP/1.1 20"]
-)
-def test_bytes_after_a_response_are_not_used_for_the_next_request(tmp_path, excess):
-    async def case(site: PlatformSite) -> None:
-        node = await site.add_node()
-        await site.start()
-        node.script.append(encode_response(200, b"mine") + excess)
-        client = await site.connect_client()
-        assert (await client.exchange(client_request())).body == b"mine"
-        assert (await client.exchange(client_request())).body == b"of " + TARGET
-        assert len(node.received) == 2  # the second request was not sent on the faulty connection first
-
-    run_case(tmp_path, case)
-
-
 def test_late_bytes_after_a_response_are_noticed_before_the_connection_is_reused(tmp_path):
     async def case(site: PlatformSite) -> None:
         node = await site.add_node()
--- /dev/null
+++ b/tests/platform/test_response_end.py
@@ -0,0 +1,185 @@
+"""Tests of responses that are followed by further bytes: which are forwarded, and which have failed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from support.platform_site import SETTINGS, PlatformSite, client_request, run_case
+
+from cherrygrade.http.reader import MAX_BODY_BYTES
+from cherrygrade.http.writer import encode_response
+from cherrygrade.platform.node_connection import MAX_COPY_WAIT_MS
+from cherrygrade.scheduling.model import Outcome
+from cherrygrade.scheduling.scheduler import Scheduler
+
+TARGET = b"/api/00000000000000aa/00000000000000bb"
+USUAL_BODY = b"of " + TARGET
+OTHER_RESPONSE = encode_response(200, b"somebody else's")
+MINE = encode_response(200, b"mine")
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\n\r\n"
+LONG_BODY = b"l" * (3 * MAX_BODY_BYTES)
+
+
+def cut(body: bytes, length: int, status: int = 200, fields: bytes = b"") -> bytes:
+    """Encode a response whose `Content-Length` is smaller than its body."""
+    assert length < len(body)
+    return encode_response(status, body[:length], fields) + body[length:]
+
+
+class OutcomeRecorder(Scheduler):
+    """A scheduler that records the outcomes of attempts."""
+
+    outcomes: list[Outcome | None]
+
+    def decide(self, now, writer, **inputs):
+        self.outcomes = getattr(self, "outcomes", []) + [attempt.outcome for attempt in inputs["outcomes"]]
+        super().decide(now, writer, **inputs)
+
+
+IN_DOUBT = pytest.mark.parametrize(
+    "response",
+    [
+        cut(b"the whole body", 7),
+        cut(b"the whole body", 13),
+        cut(b"the whole body", 0),
+        cut(b"a line\r\n", 6),
+        cut(b"a line\n", 6),
+        cut(b"before" + OTHER_RESPONSE, 6),
+        cut(b"HTTP/1.1 HTTP/1.1", 9),
+        cut(LONG_BODY, len(LONG_BODY) - 1),
+        MINE + b"\x00\x01 noise",
+        MINE + OTHER_RESPONSE,
+        MINE + MINE.replace(b"mine", b"mind"),
+        MINE + MINE[:-1],
+        MINE + b"HTTP/1.1 20",
+    ],
+    ids=[
+        "half",
+        "one-byte-short",
+        "length-0",
+        "line-end",
+        "line-feed",
+        "response-in-the-body",
+        "head-in-the-body",
+        "long",
+        "noise",
+        "other-response",
+        "other-body",
+        "copy-without-end",
+        "start-of-a-head",
+    ],
+)
+
+
+# Guards against a body that is cut short by its `Content-Length` and reaches the client as a complete 200.
+@IN_DOUBT
+def test_response_whose_end_is_in_doubt_is_not_forwarded_and_the_read_is_retried(tmp_path, response):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start(OutcomeRecorder)
+        node.script.append(response)
+        client = await site.connect_client()
+        read = await client.exchange(client_request())
+        assert (read.status, read.body) == (200, USUAL_BODY)
+        assert dispatcher.rounds.scheduler.outcomes == [Outcome.FAILED, Outcome.OK]
+        # The next request is not sent on the connection that is of no further use.
+        assert (await client.exchange(client_request())).body == USUAL_BODY
+        assert (len(node.received), node.connections_made) == (3, 2)
+        assert not dispatcher.answer_budget.reserved_bytes
+        assert dispatcher.round_carrier.responses_in_doubt() == {node.host: 1}
+
+    run_case(tmp_path, case)
+
+
+# Guards against the same failure where the request must not run twice: the client gets an error.
+@IN_DOUBT
+def test_response_whose_end_is_in_doubt_is_an_error_if_the_request_must_not_run_twice(tmp_path, response):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        await site.start()
+        node.script.append(response)
+        client = await site.connect_client()
+        answer = await client.exchange(client_request(method="PUT", body=b"x", X_Call_Class="once"))
+        assert (answer.status, len(node.received)) == (502, 1)
+
+    run_case(tmp_path, case)
+
+
+# Guards against a repeated request after a "did not run" that may be the start of another answer.
+def test_rejection_whose_end_is_in_doubt_does_not_count_as_not_run(tmp_path):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start(OutcomeRecorder)
+        node.script.append(cut(b"the whole body", 7, 503, b"X-Rejected: 1\r\n"))
+        once = {"X_Call_Class": "once", "method": "PUT", "body": b"x"}
+        answer = await (await site.connect_client()).exchange(client_request(**once))
+        assert dispatcher.rounds.scheduler.outcomes == [Outcome.FAILED]
+        assert (answer.status, len(node.received)) == (502, 1)
+
+    run_case(tmp_path, case)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        MINE + MINE,
+        MINE + MINE + MINE,
+        MINE + MINE + b"noise",
+        CHUNKED + b"noise",
+        CHUNKED + CHUNKED,
+        CHUNKED + OTHER_RESPONSE,
+        b"HTTP/1.1 100 Continue\r\n\r\n" + MINE + MINE,
+    ],
+    ids=["copy", "copies", "copy-noise", "chunks-noise", "chunks-copy", "chunks-other", "interim-copy"],
+)
+def test_response_whose_end_is_certain_is_forwarded_and_its_connection_closed(tmp_path, response):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start(OutcomeRecorder)
+        node.script.append(response)
+        client = await site.connect_client()
+        assert (await client.exchange(client_request())).body == b"mine"
+        assert dispatcher.rounds.scheduler.outcomes == [Outcome.OK]
+        assert (await client.exchange(client_request())).body == USUAL_BODY
+        assert (len(node.received), node.connections_made) == (2, 2)
+
+    run_case(tmp_path, case)
+
+
+@pytest.mark.parametrize("body", [b"mine", LONG_BODY], ids=["short", "long"])
+def test_second_copy_that_arrives_in_pieces_is_awaited(tmp_path, body):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        # A second attempt must not be faster than the pieces of the first one's response.
+        await site.start(settings=SETTINGS | {"limits": SETTINGS["limits"] | {"secondCopies": False}})
+        response = encode_response(200, body)
+        node.script.append(None)
+        client = await site.connect_client()
+        client.writer.write(client_request())
+        await site.wait_until(lambda: node.received)
+        peer = node.peers[0]
+        peer.write(response + response[:30])
+        await asyncio.sleep(MAX_COPY_WAIT_MS / 4000.0)
+        peer.write(response[30:])
+        assert (await client.read_answer()).body == body
+        assert len(node.received) == 1
+
+    run_case(tmp_path, case)
+
+
+# Guards against an attempt without an outcome if the node closes while a second copy is awaited.
+def test_close_within_a_second_copy_ends_the_attempt(tmp_path):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start(OutcomeRecorder)
+        node.script.append(None)
+        client = await site.connect_client()
+        client.writer.write(client_request())
+        await site.wait_until(lambda: node.received)
+        node.peers[0].transport.write(MINE + MINE[:30])
+        node.peers[0].transport.close()
+        assert (await client.read_answer()).body == USUAL_BODY
+        assert dispatcher.rounds.scheduler.outcomes == [Outcome.RESET, Outcome.OK]
+
+    run_case(tmp_path, case)
