Responses in doubt have a log event of their own; `counts` keeps its recorded keys

Change: `responses in doubt` with `count_by_node`, logged with `counts` only when there were such responses since the last time, so alerts on it mean something.

--- a/cherrygrade/platform/connection_pool.py
+++ b/cherrygrade/platform/connection_pool.py
@@ -71,7 +71,7 @@
         self.connect_count = 0
         """Number of connections established since the start."""
         self.in_doubt_count = 0
-        """Number of responses since the start that may have been cut short; never reset."""
+        """Number of responses that may have been cut short, since `RoundCarrier.take_in_doubt_counts`."""
         self._resources = resources
         self._socket_budget = resources.socket_budget
         self._last_connect_was_reset = False
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -242,7 +242,7 @@
         self.shutdown.check_finished()
 
     def _log_counts(self) -> None:
-        """Log what is open now and what was answered since the start."""
+        """Log what is open, what was answered since the start, and whose responses were in doubt of late."""
         counts = self.round_carrier.counts
         self.log(
             "counts",
@@ -257,8 +257,10 @@
             nodes=len(self.endpoint_list.addresses),
             version=self.endpoint_list.version,
             connects=sum(pool.connect_count for pool in self.round_carrier.pools.values()),
-            responses_in_doubt=self.round_carrier.responses_in_doubt(),
         )
+        in_doubt = self.round_carrier.take_in_doubt_counts()
+        if in_doubt:
+            self.log("responses in doubt", count_by_node=in_doubt)
 
     # Called by discovery.
 
--- a/cherrygrade/platform/round_carrier.py
+++ b/cherrygrade/platform/round_carrier.py
@@ -108,9 +108,14 @@
         self.rounds.inputs.endpoint_changes += nodes
         self.rounds.schedule_round()
 
-    def responses_in_doubt(self) -> dict[str, int]:
-        """Return the number of responses that may have been cut short, by the address of each such node."""
-        return {pool.node.address: pool.in_doubt_count for pool in self.pools.values() if pool.in_doubt_count}
+    def take_in_doubt_counts(self) -> dict[str, int]:
+        """Return how many responses of each node were in doubt since the last call, and reset the counts."""
+        counts: dict[str, int] = {}
+        for pool in self.pools.values():
+            if pool.in_doubt_count:
+                counts[pool.node.address] = pool.in_doubt_count
+                pool.in_doubt_count = 0
+        return counts
 
     def answer_all(self, exit_code: int) -> None:
         """End the rounds, close all node connections and give every open request its final answer."""
--- a/tests/platform/test_response_end.py
+++ b/tests/platform/test_response_end.py
@@ -87,7 +87,10 @@
         assert (await client.exchange(client_request())).body == USUAL_BODY
         assert (len(node.received), node.connections_made) == (3, 2)
         assert not dispatcher.answer_budget.reserved_bytes
-        assert dispatcher.round_carrier.responses_in_doubt() == {node.host: 1}
+        dispatcher._log_counts()
+        assert site.logs[-1] == ("responses in doubt", {"count_by_node": {node.host: 1}})
+        dispatcher._log_counts()
+        assert site.logs[-1][0] == "counts"  # the event is logged again only for new responses
 
     run_case(tmp_path, case)
 
