Native protocol: a frame is not passed on if the bytes behind its body cannot be a frame

What callers saw: a write whose frame tells a length under that of its body was run with the first part, while the rest broke the stream and the client got `Bye`; likewise a client would have taken the first part of a read's bytes. (A dispatcher compares the length of a node's answer with the range that it asked for, so it was not deceived.)

FrameReader passed a frame on before it looked at the bytes behind it.

Change: before a frame with a body is passed on, the bytes received behind the body are checked: kind or the flag to skip, and the lengths of a whole head. If they cannot be a frame, the stream is broken at that frame, which is not passed on; the peer gets `Bye` with the reason. Nothing changes on the wire.

Why it works: the rest of a body hardly ever passes for a head (30 of 256 kinds, a header of at most 16,384 bytes, a bounded body). Not covered, as no bytes behind are seen then: a rest that comes in a later read, and a body that is received straight into its own buffer. A checksum in the frame would need a new version of the protocol.

--- a/cherrygrade/wire/frames.py
+++ b/cherrygrade/wire/frames.py
@@ -16,6 +16,8 @@
 
 HEAD = struct.Struct(">BBHI")
 """Kind, flags, length of the header, length of the body."""
+MIN_CHECKED_BYTES = 2
+"""Kind and flags, the part of a head from which a frame that cannot be read is recognized."""
 SKIP_IF_UNKNOWN = 1
 """Flag: a reader that does not know the kind skips the frame."""
 MAX_HEADER_BYTES = 16384
@@ -75,6 +77,9 @@
     or what is in the shared buffer while a body is deferred. Once `filled` or `provide_body` has raised
     ProtocolError, the reader must not be used any more.
 
+    A frame with a body is passed on only if the bytes received behind it can be a frame: otherwise they may
+    be the rest of its body, whose length was told too small. Bytes of a later read are not awaited.
+
     Attributes:
         most_body: Maximum size of a body, bytes.
         idle: No part of a further frame was received.
@@ -161,6 +166,7 @@
             The position in `received` up to which bytes were used.
         """
         available = min(length, end)
+        self._check_following(length, received[available:end])
         view = None if body is None else memoryview(body)
         if view is not None:
             view[:available] = received[:available]
@@ -183,10 +189,7 @@
         start = 0
         while end - start >= HEAD.size:
             kind, flags, header_length, body_length = HEAD.unpack_from(buffer, start)
-            if header_length > MAX_HEADER_BYTES:
-                raise ProtocolError(f"a header of {header_length} bytes; at most {MAX_HEADER_BYTES}")
-            if body_length > self.most_body:
-                raise ProtocolError(f"a body of {body_length} bytes; at most {self.most_body}")
+            self._check_lengths(header_length, body_length)
             body_at = start + HEAD.size + header_length
             if body_at > end:
                 break
@@ -210,19 +213,40 @@
         self._remainder = bytes(buffer[start:end]) if start < end else b""
         self.idle = start == end
 
+    def _check_lengths(self, header_length: int, body_length: int) -> None:
+        if header_length > MAX_HEADER_BYTES:
+            raise ProtocolError(f"a header of {header_length} bytes; at most {MAX_HEADER_BYTES}")
+        if body_length > self.most_body:
+            raise ProtocolError(f"a body of {body_length} bytes; at most {self.most_body}")
+
+    def _check_following(self, body_length: int, following: memoryview) -> None:
+        """Raise ProtocolError if the bytes that follow a body cannot be a frame."""
+        try:
+            if len(following) >= MIN_CHECKED_BYTES:
+                _check_kind(*following[:MIN_CHECKED_BYTES])
+            if len(following) >= HEAD.size:
+                self._check_lengths(*HEAD.unpack_from(following)[MIN_CHECKED_BYTES:])
+        except ProtocolError as error:
+            raise ProtocolError(f"no frame follows a body of {body_length} bytes: {error}") from error
+
     def _decode(self, kind: int, flags: int, header: memoryview) -> Any:
         """Return the message; None if its kind is unknown and the frame may be skipped."""
+        _check_kind(kind, flags)
         decoder = _decoders.get(kind)
         if decoder is None:
-            if flags & SKIP_IF_UNKNOWN:
-                return None
-            raise ProtocolError(f"unknown kind of frame {kind}")
+            return None
         try:
             return decoder.decode(header)
         except msgspec.MsgspecError as error:
             raise ProtocolError(f"header of kind {kind}: {error}") from error
 
 
+def _check_kind(kind: int, flags: int) -> None:
+    """Raise ProtocolError if a frame of this kind can neither be read nor skipped."""
+    if kind not in _decoders and not flags & SKIP_IF_UNKNOWN:
+        raise ProtocolError(f"unknown kind of frame {kind}")
+
+
 class _Skipped:
     """Stands for a message of an unknown kind while its body is discarded."""
 
