A response that ends exactly with a full read is used only after the bytes behind it are read

Cause: the dispatcher reads 16 KiB at a time. Change: after a read that filled the buffer, a complete response waits for the next event if the socket has bytes or the node's close; the event loop delivers it at once. An orderly close then hands the response on; a reset ends the attempt as reset.

--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -110,7 +110,9 @@
         self._reader.feed(bytes(self._owner.receive_buffer[:nbytes]))
         response = self._reader.response
         if response is not None:
-            self._handle_response(attempt, response)
+            # A full buffer may have ended the read, not the response: the bytes behind it are read first.
+            if nbytes < len(self._owner.receive_buffer) or self.is_clean():
+                self._handle_response(attempt, response)
         elif self._reader.error is not None:
             self.attempt = None
             self.close()
@@ -146,9 +148,9 @@
     def eof_received(self) -> bool:
         """Handle the node's orderly close, which ends a response without a length; a reset does not."""
         attempt = self.attempt
-        if attempt is not None and not self.is_closed and self._reader.response is None:
+        if attempt is not None and not self.is_closed:
             self._reader.end()
-            if self._reader.response is not None:
+            if self._reader.response is not None and self._reader.trailing is Trailing.NOTHING:
                 self._take_response(attempt)
         return False
 
--- a/tests/platform/test_response_end.py
+++ b/tests/platform/test_response_end.py
@@ -10,6 +10,7 @@
 from cherrygrade.http.reader import MAX_BODY_BYTES
 from cherrygrade.http.writer import encode_response
 from cherrygrade.platform.node_connection import MAX_COPY_WAIT_MS
+from cherrygrade.platform.process import RECEIVE_BUFFER_BYTES
 from cherrygrade.scheduling.model import Outcome
 from cherrygrade.scheduling.scheduler import Scheduler
 
@@ -171,6 +172,30 @@
     run_case(tmp_path, case)
 
 
+# Guards against a response that ends with a read, so that the rest of its body has not been read yet.
+@pytest.mark.parametrize("rest, outcome", [(b"the rest", Outcome.FAILED), (b"", Outcome.OK)])
+@pytest.mark.parametrize("closes", [False, True])
+def test_bytes_behind_a_full_read_are_read_before_the_response_is_used(tmp_path, rest, outcome, closes):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start(OutcomeRecorder)
+        empty_bytes = len(encode_response(200, bytes(10_000))) - 10_000
+        response = encode_response(200, b"a" * (RECEIVE_BUFFER_BYTES - empty_bytes))
+        assert len(response) == RECEIVE_BUFFER_BYTES
+        node.script.append(None)
+        client = await site.connect_client()
+        client.writer.write(client_request())
+        await site.wait_until(lambda: node.received)
+        node.peers[0].transport.write(response + rest)
+        if closes:
+            node.peers[0].transport.close()
+        body = USUAL_BODY if rest else response[empty_bytes:]
+        assert (await client.read_answer()).body == body
+        assert dispatcher.rounds.scheduler.outcomes[0] is outcome
+
+    run_case(tmp_path, case)
+
+
 # Guards against an attempt without an outcome if the node closes while a second copy is awaited.
 def test_close_within_a_second_copy_ends_the_attempt(tmp_path):
     async def case(site: PlatformSite) -> None:
