Client library: a read whose answer has another length than was asked for is Errored

What callers saw: Client.read returned Ok with however many bytes the dispatcher's frame told; a frame that tells too small a length gave a short read as a whole one. Cause: the length of an open read was used for answers in parts alone. Change: an Ok whose body is not as long as the read is Errored with both lengths.

--- a/cherrygrade/client/library.py
+++ b/cherrygrade/client/library.py
@@ -334,12 +334,17 @@
             self._told("answer", message.id, message=message, body=body)
         future, _ = self._open.pop(message.id, (None, None))
         if future is not None and not future.done():
-            self._answer(future, message, body if body is not None else self._parts.get(message.id))
+            received = body if body is not None else self._parts.get(message.id)
+            self._answer(future, message, b"" if received is None else received)
         self._close_retired(conn)
 
     def _answer(self, future: asyncio.Future[Answer], message: Any, body: Any) -> None:
         if isinstance(message, wire.Ok):
-            future.set_result(Ok(b"" if body is None else body, message.shard))
+            length = self._lengths.get(message.id, 0)
+            if len(body) == length:
+                future.set_result(Ok(body, message.shard))
+            else:
+                future.set_result(Errored(f"{len(body)} bytes received of a read of {length} bytes"))
         elif isinstance(message, wire.Rejected):
             future.set_result(Rejected(message.come_back_ms, message.reason))
         else:
