--- a/tests/platform/test_response_end.py
+++ b/tests/platform/test_response_end.py
@@ -5,14 +5,13 @@
 import asyncio
 
 import pytest
-from support.platform_site import SETTINGS, PlatformSite, client_request, run_case
+from support.platform_site import SETTINGS, OutcomeRecorder, PlatformSite, client_request, run_case
 
 from cherrygrade.http.reader import MAX_BODY_BYTES
 from cherrygrade.http.writer import encode_response
 from cherrygrade.platform.node_connection import MAX_COPY_WAIT_MS
 from cherrygrade.platform.process import RECEIVE_BUFFER_BYTES
 from cherrygrade.scheduling.model import Outcome
-from cherrygrade.scheduling.scheduler import Scheduler
 
 TARGET = b"/api/00000000000000aa/00000000000000bb"
 USUAL_BODY = b"of " + TARGET
@@ -28,16 +27,6 @@
     return encode_response(status, body[:length], fields) + body[length:]
 
 
-class OutcomeRecorder(Scheduler):
-    """A scheduler that records the outcomes of attempts."""
-
-    outcomes: list[Outcome | None]
-
-    def decide(self, now, writer, **inputs):
-        self.outcomes = getattr(self, "outcomes", []) + [attempt.outcome for attempt in inputs["outcomes"]]
-        super().decide(now, writer, **inputs)
-
-
 IN_DOUBT = pytest.mark.parametrize(
     "response",
     [
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -12,6 +12,7 @@
 from cherrygrade.http.reader import BodyBudget, Message, MessageReader
 from cherrygrade.platform.config import read_config
 from cherrygrade.platform.process import PlatformDispatcher
+from cherrygrade.scheduling.model import Outcome
 from cherrygrade.scheduling.scheduler import Scheduler
 from cherrygrade.standin.web import WebDiscovery, WebNode
 
@@ -60,6 +61,16 @@
     return f"{method} {target} HTTP/1.1\r\nHost: app.svc\r\n{lines}\r\n".encode() + body
 
 
+class OutcomeRecorder(Scheduler):
+    """A scheduler that records the outcomes of attempts."""
+
+    outcomes: list[Outcome | None]
+
+    def decide(self, now, writer, **inputs):
+        self.outcomes = getattr(self, "outcomes", []) + [attempt.outcome for attempt in inputs["outcomes"]]
+        super().decide(now, writer, **inputs)
+
+
 class RawClient:
     """A client's connection that writes any bytes and parses the answers."""
 
