Tests of the platform share one target and take it from tests/support

Cause: the target stood in five test files, and one imported it from another. Change: tests/support/platform_site.py has it.

--- a/tests/http/test_http_forms.py
+++ b/tests/http/test_http_forms.py
@@ -15,13 +15,12 @@
 from pathlib import Path
 
 import pytest
-from support.platform_site import PlatformSite, client_request, run_case
+from support.platform_site import TARGET, PlatformSite, client_request, run_case
 
 from cherrygrade.scheduling.model import Outcome
 from cherrygrade.scheduling.scheduler import Scheduler
 from cherrygrade.standin.web import Peer
 
-TARGET = b"/api/00000000000000aa/00000000000000bb"
 CALL_ID = b"e7559a84b003f4cf"
 PIECES = pytest.mark.parametrize("piece_bytes", [10**9, 1], ids=["one-piece", "bytes"])
 
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -15,8 +15,7 @@
 
 import pytest
 from support.fake_host import ORDERED, FakeHost
-from support.platform_site import SETTINGS, PlatformSite, client_request, run_case
-from test_platform import TARGET, OutcomeRecorder
+from support.platform_site import SETTINGS, TARGET, OutcomeRecorder, PlatformSite, client_request, run_case
 
 from cherrygrade.gateway.lifecycle import EXIT_CLEAN
 from cherrygrade.http.reader import MessageReader
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -15,8 +15,6 @@
 from cherrygrade.scheduling.model import NodeState
 from cherrygrade.standin.web import WebDiscovery
 
-TARGET = b"/api/00000000000000aa/00000000000000bb"
-
 
 def test_node_keeps_its_identity_across_addresses_and_is_forgotten_when_removed(tmp_path):
     async def case(site: PlatformSite) -> None:
--- a/tests/platform/test_message_memory.py
+++ b/tests/platform/test_message_memory.py
@@ -11,8 +11,6 @@
 from cherrygrade.http.writer import encode_response
 from cherrygrade.scheduling.model import Outcome
 
-TARGET = b"/api/00000000000000aa/00000000000000bb"
-
 
 def test_large_response_is_forwarded_within_the_budget_and_releases_it(tmp_path):
     async def case(site: PlatformSite) -> None:
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -11,7 +11,7 @@
 import time
 
 import pytest
-from support.platform_site import SETTINGS, OutcomeRecorder, PlatformSite, client_request, run_case
+from support.platform_site import SETTINGS, TARGET, OutcomeRecorder, PlatformSite, client_request, run_case
 
 from cherrygrade.gateway.lifecycle import EXIT_BROKEN, EXIT_CLEAN
 from cherrygrade.http.writer import encode_response
@@ -21,8 +21,6 @@
 from cherrygrade.scheduling.model import Outcome
 from cherrygrade.scheduling.scheduler import Scheduler
 
-TARGET = b"/api/00000000000000aa/00000000000000bb"
-
 
 def test_read_and_write_are_forwarded_and_answered_unchanged(tmp_path):
     async def case(site: PlatformSite) -> None:
--- a/tests/platform/test_response_end.py
+++ b/tests/platform/test_response_end.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from support.platform_site import SETTINGS, OutcomeRecorder, PlatformSite, client_request, run_case
+from support.platform_site import SETTINGS, TARGET, OutcomeRecorder, PlatformSite, client_request, run_case
 
 from cherrygrade.http.reader import MAX_BODY_BYTES
 from cherrygrade.http.writer import encode_response
@@ -13,7 +13,6 @@
 from cherrygrade.platform.process import RECEIVE_BUFFER_BYTES
 from cherrygrade.scheduling.model import Outcome
 
-TARGET = b"/api/00000000000000aa/00000000000000bb"
 USUAL_BODY = b"of " + TARGET
 OTHER_RESPONSE = encode_response(200, b"somebody else's")
 MINE = encode_response(200, b"mine")
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -31,11 +31,12 @@
     "guarantees": {"drainGraceS": 0.25},
     "membershipMode": "push",
 }
+TARGET = b"/api/00000000000000aa/00000000000000bb"
 _CALL_IDS = iter(range(1, 10**9))
 
 
 def client_request(
-    target: str = "/api/00000000000000aa/00000000000000bb",
+    target: str = TARGET.decode(),
     method: str = "GET",
     body: bytes = b"",
     **fields: str | None,
