--- a/cherrygrade/platform/response_end.py
+++ b/cherrygrade/platform/response_end.py
@@ -10,7 +10,8 @@
 
 A body may contain any bytes, so noise cannot be told from the rest of a body. The end is certain only where
 
-* the body is chunked: the last chunk marks its end, and what follows cannot belong to it;
+* the body is chunked: the last chunk marks its end. A chunk longer than its size is malformed, as no line end
+  follows where its size says;
 * the response follows once more, byte for byte. The rest of a body does not begin with the head of its own
   response. What follows the copy does not matter.
 
