--- a/cherrygrade/http/response_reader.py
+++ b/cherrygrade/http/response_reader.py
@@ -36,10 +36,10 @@
         self.trailing = Trailing.NOTHING
         """What has arrived behind the response; always NOTHING while `response` is None."""
         self._response_budget = budget
-        self._head = (
-            bytearray()
-        )  # of the response, without interim responses; at most MAX_HEAD_BYTES and one read
-        self._copied_bytes = 0  # bytes behind the response that repeat it from its start
+        self._head = b""
+        """The head of the response without interim responses; at most MAX_HEAD_BYTES and one read."""
+        self._copied_bytes = 0
+        """Number of bytes behind the response that repeat it from its start."""
 
     @property
     def response(self) -> Message | None:
@@ -51,29 +51,31 @@
         # The parser skips line ends between messages without a callback, so it must not be given more than
         # one response: what follows the response would not be noticed.
         while data and self.error is None and not self.messages:
-            if self._message is None:  # RFC 9112, 2.2: line ends before a message are skipped
-                data = data.lstrip(LINE_ENDS)
-            size = self._next_part_bytes(data)
-            part, data = data[:size], data[size:]
-            if self._in_head:
-                self._head += part
-            super().feed(part)
+            size = self._next_head_bytes(data) if self._in_head else self._next_body_bytes(data)
+            super().feed(data[:size])
+            data = data[size:]
             if self._message is None and not self.messages:
-                self._head.clear()  # an interim response has ended
+                self._head = b""  # line ends before a response, or an interim response, have ended
         if self.messages:
             self._examine_trailing(data)
 
-    def _next_part_bytes(self, data: bytes) -> int:
-        """Return how many bytes of `data` can be given to the parser without going beyond the response."""
-        if self._in_head:
-            previous = self._head[1 - len(HEAD_END) :]
-            found_at = (previous + data).find(HEAD_END)
-            return len(data) if found_at < 0 else found_at + len(HEAD_END) - len(previous)
+    def _next_head_bytes(self, data: bytes) -> int:
+        """Return how many bytes of `data` belong to the head, and keep these."""
+        if self._message is None:  # RFC 9112, 2.2: line ends before a message are skipped
+            line_end_bytes = len(data) - len(data.lstrip(LINE_ENDS))
+            if line_end_bytes:
+                return line_end_bytes
+        previous = self._head[1 - len(HEAD_END) :]
+        found_at = (previous + data).find(HEAD_END)
+        size = len(data) if found_at < 0 else found_at + len(HEAD_END) - len(previous)
+        self._head += data[:size]
+        return size
+
+    def _next_body_bytes(self, data: bytes) -> int:
+        """Return how many bytes of `data` may belong to the body."""
         message = self._message
         if message is None or message.framing is not Framing.CONTENT_LENGTH:
-            return len(
-                data
-            )  # a chunked body marks its end itself, and one without a length ends with the close
+            return len(data)  # the last chunk or the close marks the end
         return int(message.fields[b"content-length"]) - len(self._body)
 
     def _examine_trailing(self, data: bytes) -> None:
@@ -82,7 +84,7 @@
             self.trailing = Trailing.OTHER  # the parser has found them behind the last chunk
         if not data or self.trailing in (Trailing.OTHER, Trailing.COPY):
             return
-        copy = (bytes(self._head) + self.messages[0].body)[self._copied_bytes :]
+        copy = (self._head + self.messages[0].body)[self._copied_bytes :]
         if not (copy.startswith(data) or data.startswith(copy)):
             self.trailing = Trailing.OTHER
             return
@@ -104,6 +106,6 @@
         for message in self.messages:
             self._response_budget.release(message)
         self.messages.clear()
-        self._head.clear()
+        self._head = b""
         self._copied_bytes = 0
         self.trailing = Trailing.NOTHING
