FrameReader is named as asyncio's protocols are: get_buffer, buffer_updated, max_body_bytes

Change: renames in wire/frames.py, transport/connection.py and three test files; names on the wire, in settings and of the client library stay. Measured: tests of frames, bad input and golden frames pass.

--- a/cherrygrade/transport/connection.py
+++ b/cherrygrade/transport/connection.py
@@ -77,7 +77,7 @@
     def __init__(
         self,
         owner: Owner,
-        most_body: int,
+        max_body_bytes: int,
         high: int = 1024 * 1024,
         low: int = 256 * 1024,
         taken: Callable[[Any], None] | None = None,
@@ -86,7 +86,7 @@
 
         Args:
             owner: Handles the events of the connection.
-            most_body: Maximum size of a received body, bytes.
+            max_body_bytes: Maximum size of a received body, bytes.
             high: The connection is full if more bytes than this wait to be sent.
             low: The connection is no longer full once no more bytes than this wait to be sent.
             taken: Called with each object given to `send` as `holds`, once the bytes of its frame were sent.
@@ -96,7 +96,7 @@
         self.waiting = 0
         self.open = False
         self.moved = 0
-        self._reader = FrameReader(self._body_buffer, self._on_frame, most_body)
+        self._reader = FrameReader(self._body_buffer, self._on_frame, max_body_bytes)
         self._unsent: deque[bytes | bytearray | memoryview] = deque()
         self._written_bytes = 0  # passed to the event loop since the connection was opened
         # Value of `_written_bytes` at the end of a frame, and an object to release once the frame was sent.
@@ -119,7 +119,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next received bytes."""
-        return self._reader.place()
+        return self._reader.get_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes received into the buffer."""
@@ -127,7 +127,7 @@
         if self._is_closing:
             return
         try:
-            self._reader.filled(nbytes)
+            self._reader.buffer_updated(nbytes)
             if self._reader.is_body_deferred:
                 self.set_reading_paused(True)
         except ProtocolError as error:
--- a/cherrygrade/wire/frames.py
+++ b/cherrygrade/wire/frames.py
@@ -72,20 +72,20 @@
 class FrameReader:
     """Splits a stream of bytes into messages and bodies.
 
-    After `place` has returned a buffer, the received bytes must be reported by `filled` before any other
-    reader is used, because readers share a buffer. A reader stores at most one head and header and one body,
-    or what is in the shared buffer while a body is deferred. Once `filled` or `provide_body` has raised
-    ProtocolError, the reader must not be used any more.
+    After `get_buffer` has returned a buffer, the received bytes must be reported by `buffer_updated` before
+    any other reader is used, because readers share a buffer. A reader stores at most one head and header and
+    one body, or what is in the shared buffer while a body is deferred. Once `buffer_updated` or
+    `provide_body` has raised ProtocolError, the reader must not be used any more.
 
     A frame with a body is passed on only if the bytes received behind it can be a frame: otherwise they may
     be the rest of its body, whose length was told too small. Bytes of a later read are not awaited.
 
     Attributes:
-        most_body: Maximum size of a body, bytes.
+        max_body_bytes: Maximum size of a body, bytes.
         idle: No part of a further frame was received.
     """
 
-    def __init__(self, body_buffer: BodyBufferFunction, on_frame: FrameFunction, most_body: int) -> None:
+    def __init__(self, body_buffer: BodyBufferFunction, on_frame: FrameFunction, max_body_bytes: int) -> None:
         """Set up a reader at the start of a frame.
 
         Args:
@@ -93,9 +93,9 @@
                 None to discard the body; or BODY_DEFERRED, after which `provide_body` must be called before
                 more bytes are received.
             on_frame: Called with the message and the body of each complete frame.
-            most_body: Maximum size of a body, bytes.
+            max_body_bytes: Maximum size of a body, bytes.
         """
-        self.most_body = most_body
+        self.max_body_bytes = max_body_bytes
         self._body_buffer, self._on_frame = body_buffer, on_frame
         self._remainder = (
             b""  # the start of a frame, or the bytes received after a head whose body is deferred
@@ -107,7 +107,7 @@
         self._deferred: tuple[Any, int] | None = None
         self.idle = True
 
-    def place(self) -> memoryview:
+    def get_buffer(self) -> memoryview:
         """Return the buffer for the next bytes, which is never empty."""
         if self._message is not None:
             if self._body_view is not None:
@@ -120,7 +120,7 @@
         _RECEIVE_BUFFER[:remainder_length] = self._remainder
         return _RECEIVE_BUFFER[remainder_length:]
 
-    def filled(self, count: int) -> None:
+    def buffer_updated(self, count: int) -> None:
         """Process bytes that were received into the last buffer.
 
         Args:
@@ -216,8 +216,8 @@
     def _check_lengths(self, header_length: int, body_length: int) -> None:
         if header_length > MAX_HEADER_BYTES:
             raise ProtocolError(f"a header of {header_length} bytes; at most {MAX_HEADER_BYTES}")
-        if body_length > self.most_body:
-            raise ProtocolError(f"a body of {body_length} bytes; at most {self.most_body}")
+        if body_length > self.max_body_bytes:
+            raise ProtocolError(f"a body of {body_length} bytes; at most {self.max_body_bytes}")
 
     def _check_following(self, body_length: int, following: memoryview) -> None:
         """Raise ProtocolError if the bytes that follow a body cannot be a frame."""
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -23,12 +23,12 @@
 READ = encode(ReadRpc(1, "read", "v", "k", 0, 0, 1, 1000.0))
 
 
-def make_reader(most_body: int = 1 << 20):
+def make_reader(max_body_bytes: int = 1 << 20):
     received: list[tuple[object, bytes | None]] = []
     reader = FrameReader(
         lambda message, length: bytearray(length),
         lambda message, body: received.append((message, None if body is None else bytes(body))),
-        most_body,
+        max_body_bytes,
     )
     return reader, received
 
@@ -36,10 +36,10 @@
 def feed(reader: FrameReader, data: bytes, steps: list[int]) -> None:
     offset, turn = 0, 0
     while offset < len(data):
-        buffer = reader.place()
+        buffer = reader.get_buffer()
         count = min(steps[turn % len(steps)], len(buffer), len(data) - offset)
         buffer[:count] = data[offset : offset + count]
-        reader.filled(count)
+        reader.buffer_updated(count)
         offset, turn = offset + count, turn + 1
 
 
@@ -88,7 +88,7 @@
 @given(st.binary(min_size=1, max_size=300))
 @settings(max_examples=200, deadline=None)
 def test_garbage_raises_only_protocol_errors(data):
-    reader, _ = make_reader(most_body=1000)
+    reader, _ = make_reader(max_body_bytes=1000)
     try:
         feed(reader, data, [50])
     except ProtocolError:
--- a/tests/gateway/test_body_end.py
+++ b/tests/gateway/test_body_end.py
@@ -28,8 +28,8 @@
 
     def read(self, data: bytes) -> None:
         """Read bytes that are received at once."""
-        self._reader.place()[: len(data)] = data
-        self._reader.filled(len(data))
+        self._reader.get_buffer()[: len(data)] = data
+        self._reader.buffer_updated(len(data))
 
 
 # Guards against a body that is cut short by the length in its frame, and passed on as though it were whole.
--- a/tests/golden/test_framing.py
+++ b/tests/golden/test_framing.py
@@ -48,10 +48,10 @@
     )
     data = bytes.fromhex(case["head"]) + BODY
     while data:
-        buffer = reader.place()
+        buffer = reader.get_buffer()
         count = min(len(buffer), len(data))
         buffer[:count] = data[:count]
-        reader.filled(count)
+        reader.buffer_updated(count)
         data = data[count:]
     assert found == [(value_of(case), BODY)]
 
