One module decides whether responses and requests are whole: platform/message_end.py

Cause: the decision for requests stood in ClientConnection, which is I/O. Change: platform/response_end.py is message_end.py and has is_request_whole besides response_end; behaviour as before. Measured: 56 tests of both, and those of frames, pass.

--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -8,15 +8,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from cherrygrade.http.reader import (
-    BodyBudget,
-    Framing,
-    HttpError,
-    Message,
-    MessageReader,
-    closes_connection,
-)
+from cherrygrade.http.reader import BodyBudget, HttpError, Message, MessageReader, closes_connection
 from cherrygrade.http.writer import CONTINUE, encode_response
+from cherrygrade.platform.message_end import is_request_whole
 from cherrygrade.platform.request_parsing import PendingRequest
 from cherrygrade.platform.socket_events import CLOSED, READABLE, SocketEvents
 
@@ -360,7 +354,8 @@
         self._owner.mark_active(self)
         self._message = message
         self._close_after_answer = closes_connection(message)
-        if self._is_end_in_doubt(message):
+        is_followed_by_garbage = not self._queue and self._reader.error_precedes_target
+        if not is_request_whole(message, is_followed_by_garbage):
             self._refuse(HttpError(400, "no request follows this one: is its Content-Length too small?"))
             return
         if message.target == b"/ready" and message.method == b"GET":
@@ -371,17 +366,6 @@
         except HttpError as error:
             self._refuse(error)
 
-    def _is_end_in_doubt(self, message: Message) -> bool:
-        """Return whether the bytes that follow `message` may be the rest of its body.
-
-        They may if they are no request: the client has told too small a length, or none. Forwarded, a write
-        would be cut short. A chunked body marks its own end, and a read without a length has no body.
-        """
-        has_no_body = message.framing is Framing.NO_BODY and message.method == b"GET"
-        if self._queue or has_no_body or message.framing is Framing.CHUNKED:
-            return False
-        return self._reader.error_precedes_target
-
     def _refuse(self, error: HttpError) -> None:
         self._owner.refused += 1
         self.answer(error.status, str(error).encode("latin-1", "replace"), close=True)
--- a/cherrygrade/platform/response_end.py
+++ b/cherrygrade/platform/message_end.py
@@ -1,10 +1,12 @@
-"""Decides whether a storage node's response is whole if further bytes follow it; free of I/O and clock.
+"""Decides whether a message is whole if further bytes follow it; free of I/O and clock.
 
-The platform knows two kinds of such responses:
+The peer tells where a message ends. If `Content-Length` is too small, the bytes that follow are the rest of
+the body. Forwarded, the first part would pass for the whole body, which nobody has sent.
 
-* Malformed (DAYS, "Bad storage servers"): `Content-Length` does not fit the body. If it is too small, the
-  bytes that follow are the rest of the body. The attempt has failed and may have run. Forwarded, the first
-  part would pass for the whole body, which no node has sent (PROTOCOL, "The rules on sockets").
+The platform knows two kinds of responses of storage nodes with bytes behind them:
+
+* Malformed (DAYS, "Bad storage servers"): lengths that do not fit the body. The attempt has failed and may
+  have run; the response is none that a node made for the request (PROTOCOL, "The rules on sockets").
 * Correct (the same page): noise or a second copy follows at once. A second copy that arrives some
   milliseconds late (STANDING, `join+mass`) finds the connection idle, and `NodeConnection` closes it.
 
@@ -17,13 +19,16 @@
 
 Otherwise the attempt counts as failed and may have run. For a correct response with noise this costs a retry,
 or an error where the request must not run twice; no client gets a body that was cut short.
+
+A client may send its next request at once, so only bytes that are no request leave the end of a request in
+doubt. It is refused then, as DAYS, "Bad clients", asks for requests with wrong lengths.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
-from cherrygrade.http.reader import Framing
+from cherrygrade.http.reader import Framing, Message
 from cherrygrade.http.response_reader import Trailing
 
 
@@ -47,3 +52,15 @@
     if trailing is Trailing.PARTIAL_COPY:
         return ResponseEnd.OPEN
     return ResponseEnd.IN_DOUBT
+
+
+def is_request_whole(request: Message, is_followed_by_garbage: bool) -> bool:
+    """Return whether a client's complete request ends where its framing says.
+
+    Args:
+        request: The request.
+        is_followed_by_garbage: Whether the bytes that have arrived behind it are no request.
+    """
+    # A read without a length has no body that could be cut short; a write may have a body all the same.
+    has_no_body = request.framing is Framing.NO_BODY and request.method == b"GET"
+    return has_no_body or request.framing is Framing.CHUNKED or not is_followed_by_garbage
--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -10,7 +10,7 @@
 from cherrygrade.http.reader import BodyBudget, Framing, Message, closes_connection
 from cherrygrade.http.response_reader import ResponseReader, Trailing
 from cherrygrade.inflight import InflightAttempt
-from cherrygrade.platform.response_end import ResponseEnd, response_end
+from cherrygrade.platform.message_end import ResponseEnd, response_end
 from cherrygrade.platform.socket_events import SocketEvents
 from cherrygrade.scheduling.model import Outcome
 
