--- /dev/null
+++ b/review/standins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: storage servers, discovery, clients and the platform, on loopback."""
