Review case 8: the first part of an answer whose length does not fit is served as the whole

Cause: NodeConnection looks in one read only for bytes behind an answer, and passes the answer on at once. Nothing is fixed.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,79 +1,94 @@
-"""Case 8: a second send waits until the node has forgotten the mark, and the write takes effect twice."""
+"""Case 8: the first part of a storage server's answer, whose length does not fit, is served as the whole."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 from pathlib import Path
 
-from cherrygrade.client.library import Client, Ok
 from review.standins_2.case import Case, main
-from review.standins_2.native import Room
-
-WINDOW_MS = 450.0
-RESETS_BEFORE = 6
-TRIALS = 5
-RECORD_BYTES = 64
-
-
-async def read_some(client: Client, count: int) -> int:
-    """Read from the node some times; return how many reads were answered ok."""
-    answers = [
-        await client.read("seat-read", "seatmap", "log-0", shard=0, length=16, deadline_ms=2000.0)
-        for _ in range(count)
-    ]
-    return sum(isinstance(answer, Ok) for answer in answers)
-
-
-async def trial(case: Case, room: Room, client: Client, number: int) -> None:
-    """Append one record while the connections to the node are reset again and again."""
-    node = room.nodes[0]
-    if case.trouble:
-        node.resets = RESETS_BEFORE
-        end = case.record.now() + 8.0
-        while node.resets and case.record.now() < end:
-            await read_some(client, 1)
-        while not await read_some(client, 1) and case.record.now() < end:
-            pass
-        node.resets = 1  # the answer to the next request: the request has begun, and has run
-    record = bytes([ord("A") + number]) * RECORD_BYTES
-    case.record.write("client-append", record=record[:1].decode(), bytes=RECORD_BYTES)
-    answer = await client.write(
-        "booking-write",
-        "seatmap",
-        "log-0",
-        record,
-        shard=0,
-        append=True,
-        token=f"booking-{number}".encode(),
-        deadline_ms=1500.0,
-    )
-    case.record.write("client-answer", record=record[:1].decode(), answer=f"'{answer}'")
-    node.resets = 0
-    await asyncio.sleep(2.0)  # whatever is under way for the write has ended by now
-    await read_some(client, 60)  # the node is well again, and is seen to be
-    times = bytes(node.bytes["seatmap", "log-0"]).count(record)
-    case.record.say(f"append {number}: {type(answer).__name__}, the record stands {times} times at the node")
-    if times > 1:
-        case.broken(f"append {number} took effect {times} times; its answer was {answer}")
+from review.standins_2.client import Call, new_call
+from review.standins_2.discovery import entry
+from review.standins_2.platform import Dispatcher
+from review.standins_2.settings import deployment
+
+BLOCK_BYTES = 4096  # a server writes its answers in blocks
+BLOCKS = 3
+SPOILT_SHARE = 0.2
+CLIENTS = 6
+LOAD_S = 40.0
+
+
+def body_of(call_id: str) -> bytes:
+    """Return the bytes that the storage server holds for a request: they name it."""
+    return (call_id.encode() * BLOCK_BYTES)[: BLOCKS * BLOCK_BYTES]
+
+
+class BlockServer:
+    """A storage server that writes each answer in blocks, one right behind the other."""
+
+    def __init__(self, case: Case) -> None:
+        self.case = case
+        self.address = ""
+        self.spoilt: set[str] = set()
+        """Ids of the requests that got a spoilt answer, at their first attempt or a further one."""
+        self._random = random.Random(7)
+
+    async def open(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                call_id = head.split("X-Call-Id: ")[1][:16]
+                await asyncio.sleep(self._random.uniform(0.005, 0.02))
+                body = body_of(call_id)
+                is_spoilt = self.case.trouble and self._random.random() < SPOILT_SHARE
+                length = BLOCK_BYTES if is_spoilt else len(body)
+                if is_spoilt:
+                    self.spoilt.add(call_id)
+                self.case.record.write("server-answers", id=call_id, told=length, has=len(body))
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length + body[:BLOCK_BYTES])
+                for at in range(BLOCK_BYTES, len(body), BLOCK_BYTES):
+                    writer.write(body[at : at + BLOCK_BYTES])
+        writer.close()
+
+
+async def client(case: Case, dispatcher: Dispatcher, number: int, calls: list[Call]) -> None:
+    """Read one object after another."""
+    connection = case.client(dispatcher)
+    end = case.record.now() + LOAD_S
+    while case.record.now() < end:
+        call = await connection.call(new_call(2.0), key=f"{number:04x}{len(calls):012x}")
+        calls.append(call)
+        if call.end != "answered":
+            connection.close()
+            connection = case.client(dispatcher)
 
 
 async def play(case: Case) -> None:
-    """Append some records, each under resets of the node's connections."""
-    room = case.room()
-    await room.open(1, 1, lambda extent: 0, f', effect: "tokened", group: "all", token_ms: {WINDOW_MS}')
-    async with room.client("ticketing-1") as client:
-        await client.write(
-            "booking-write",
-            "seatmap",
-            "log-0",
-            b"." * RECORD_BYTES,
-            shard=0,
-            token=b"first",
-            deadline_ms=1500.0,
-        )
-        await read_some(client, 30)
-        for number in range(TRIALS):
-            await trial(case, room, client, number)
+    """Read through the dispatcher while some answers have a length that does not fit."""
+    agent = await case.agent()
+    server = BlockServer(case)
+    await server.open()
+    agent.publish(entry("s-1", server.address, 3))
+    dispatcher = Dispatcher(case.record, case.folder, "n0", agent.address, deployment())
+    case.dispatchers.append(dispatcher)
+    await dispatcher.start()
+    calls: list[Call] = []
+    await asyncio.gather(*(client(case, dispatcher, number, calls) for number in range(CLIENTS)))
+    for call in calls:
+        if call.status == 200 and call.body != body_of(call.call_id):
+            case.broken(
+                f"{call.call_id}: 200 with {len(call.body)} of {BLOCKS * BLOCK_BYTES} bytes; "
+                f"spoilt on its way: {call.call_id in server.spoilt}"
+            )
+    served = sum(call.status == 200 for call in calls)
+    case.record.say(f"{len(calls)} requests, {served} served, {len(server.spoilt)} had a spoilt answer")
 
 
 if __name__ == "__main__":
