--- a/review/9/case.py
+++ b/review/9/case.py
@@ -21,21 +21,30 @@
 OWED_S = 3.0  # DAYS: a bad client is owed an error or a close within 3 s
 
 
-async def bad_write(case: Case, dispatcher: Dispatcher, calls: list[Call]) -> None:
-    """Send a write of three blocks, one after another, that tells the length of one block."""
-    call = new_call(2.0)
+async def bad_write(case: Case, dispatcher: Dispatcher, calls: list[Call], has_length: bool) -> None:
+    """Send a write of three blocks that tells the length of one, or none; read what is answered."""
+    call = new_call(1.5)
     calls.append(call)
     client = case.client(dispatcher)
     await client.connect()
     assert client.writer is not None
-    told = BLOCK_BYTES if case.trouble else BLOCKS * BLOCK_BYTES
-    head, _, _ = request_bytes(call, "visit-write", body=b"x" * told).partition(b"\r\n\r\n")
+    told: int | None = BLOCKS * BLOCK_BYTES
+    if case.trouble:
+        told = BLOCK_BYTES if has_length else None
+    head, _, _ = request_bytes(call, "booking-write", body=b"x" * (told or 0)).partition(b"\r\n\r\n")
+    if told is None:
+        head = head.replace(b"\r\nContent-Length: 0", b"")
     call.sent_s = case.record.now()
     client.writer.write(head + b"\r\n\r\n")
     for _ in range(BLOCKS):
+        if told is None:
+            await asyncio.sleep(BLOCK_GAP_S)
         client.writer.write(b"\xb5" * BLOCK_BYTES)
-        await asyncio.sleep(BLOCK_GAP_S)
-    case.record.write("client-sent", id=call.call_id, told=told, has=BLOCKS * BLOCK_BYTES)
+        if told is not None:
+            await asyncio.sleep(BLOCK_GAP_S)
+    written_s = case.record.now() - call.sent_s
+    facts = {"id": call.call_id, "told": told, "has": BLOCKS * BLOCK_BYTES, "written_s": f"{written_s:.4f}"}
+    case.record.write("client-sent", **facts)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(OWED_S):
             await client.read_answer(call)
@@ -62,8 +71,8 @@
     await dispatcher.start()
     calls: list[Call] = []
     reading = asyncio.create_task(usual(case, dispatcher))
-    for _ in range(BAD_REQUESTS):
-        await bad_write(case, dispatcher, calls)
+    for number in range(BAD_REQUESTS):
+        await bad_write(case, dispatcher, calls, has_length=number % 2 == 0)
         await asyncio.sleep(0.2)
     await reading
     ran = {request.call_id: len(request.body) for request in server.received}
@@ -73,7 +82,7 @@
                 f"{call.call_id}: answered 200, {ran.get(call.call_id)} of its {BLOCKS * BLOCK_BYTES} bytes "
                 f"ran at the server, {call.answered_s - call.sent_s:.3f} s after the client began"
             )
-    cut = sum(ran.get(call.call_id, 0) == BLOCK_BYTES for call in calls)
+    cut = sum(ran.get(call.call_id, BLOCKS * BLOCK_BYTES) < BLOCKS * BLOCK_BYTES for call in calls)
     case.record.say(f"{len(calls)} writes, {sum(c.status == 200 for c in calls)} answered 200, {cut} ran cut")
 
 
--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -33,8 +33,8 @@
 
 def request_bytes(
     call: Call,
-    class_name: str = "member-read",
-    plan: str = "premium",
+    class_name: str = "seat-read",
+    plan: str = "premier",
     volume: str = "00000003b4d60021",
     key: str = "7f3a9c21e0b4d655",
     extent: str = "units=2,shard=3,hosts=1",
--- a/review/standins_2/discovery.py
+++ b/review/standins_2/discovery.py
@@ -19,13 +19,11 @@
     def __init__(self, writer: asyncio.StreamWriter, number: int) -> None:
         self.writer = writer
         self.number = number
-        self.is_silent = False
-        """Whether the watch has fallen silent: its connection stays open, and nothing comes any more."""
         self.has_list = False
 
     def write(self, text: str) -> None:
-        """Send one chunk, unless the watch is silent or closed."""
-        if not self.is_silent and not self.writer.is_closing():
+        """Send one chunk, unless the watch is closed."""
+        if not self.writer.is_closing():
             data = text.encode()
             self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -40,8 +38,6 @@
         self.hosts: dict[str, dict[str, Any]] = {}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.watches: list[Watch] = []
-        self.first_answer_s = 0.0
-        """Time from a request for the list until the agent answers it."""
         self.address = ""
         self.requests = 0
         """Number of requests for the list so far."""
@@ -78,9 +74,7 @@
         for watch in self.watches:
             if watch.has_list:
                 watch.write(text)
-                self.record.write(
-                    "discovery-told", watch=watch.number, silent=watch.is_silent, text=text.strip()
-                )
+                self.record.write("discovery-told", watch=watch.number, text=text.strip())
 
     async def _keep_alive(self) -> None:
         while True:
@@ -106,8 +100,6 @@
                 writer.transport.abort()
 
     async def _answer(self, watch: Watch, line: str) -> None:
-        if self.first_answer_s:
-            await asyncio.sleep(self.first_answer_s)
         if watch.writer.is_closing():
             return
         since = -1
@@ -126,7 +118,7 @@
 
 def entry(host: str, dial: str, block: int, health: str = "in_service", born_ms: int = 0) -> dict[str, Any]:
     """Return the entry of a storage server in discovery's list."""
-    return {"host": host, "dial": dial, "site": "kosice-room1", "class": "small-2c", "block": block} | {
+    return {"host": host, "dial": dial, "site": "macon-1", "class": "small-2c", "block": block} | {
         "health": health,
         "share": 1.0,
         "born_ms": born_ms,
--- a/review/standins_2/platform.py
+++ b/review/standins_2/platform.py
@@ -127,12 +127,3 @@
             assert self.process is not None
             self.signal(signal.SIGKILL)
             await self.process.wait()
-
-    def memory(self) -> dict[str, float]:
-        """Return the process's memory in MiB, by the kernel's names for it."""
-        figures = {}
-        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
-            name, _, value = line.partition(":")
-            if name in ("VmRSS", "VmHWM", "RssAnon", "RssFile"):
-                figures[name] = int(value.split()[0]) / 1024.0
-        return figures
