The compiled scheduler decides as its sources do on arm64 too

Cause: gcc fuses a multiplication and an addition into one instruction where the machine has one (arm64; not the base of x86-64), which rounds once in place of twice. Change: the C compiler gets -ffp-contract=off, behind the flags of the environment. The digest that says whether a compiled package may be used covers these flags and the kind of machine, so that one carried over from another kind is compiled anew.

--- a/cherrygrade/compiled.py
+++ b/cherrygrade/compiled.py
@@ -1,9 +1,9 @@
 """Compiles the scheduler with mypyc: the same sources make the same decisions in less time.
 
 The compiled modules are installed into the environment as a package of their own, with a digest of the
-sources that they were made from. They are used only if that digest matches the present sources; after an edit
-the sources are interpreted until they are compiled again. The types that hosts share with the scheduler
-(`scheduling/model.py`) are never compiled.
+sources, the compiler's flags and the kind of machine that they were made from. They are used only if that
+digest matches the present ones; after an edit the sources are interpreted until they are compiled again. The
+types that hosts share with the scheduler (`scheduling/model.py`) are never compiled.
 """
 
 from __future__ import annotations
@@ -29,13 +29,17 @@
 SOURCES = Path(str(scheduler.__file__)).resolve().parent
 """Folder of the package that is compiled."""
 
+COMPILER_FLAGS = "-ffp-contract=off"
+"""Flags of the C compiler: a fused multiplication and addition rounds once, the interpreter rounds twice."""
+
 NOT_COMPILED = ("__init__.py", "model.py", "round_inputs.py", "start_settings.py")
 """Modules that are not compiled, since hosts use their types or run them themselves."""
 
 
 def source_digest() -> str:
-    """Return a digest of all modules of the source package as they are now."""
+    """Return a digest of all modules of the source package, the compiler's flags and the kind of machine."""
     digest = hashlib.blake2b(digest_size=12)
+    digest.update(f"{COMPILER_FLAGS}\0{sysconfig.get_platform()}\0".encode())
     for file in sorted(SOURCES.glob("*.py")):
         digest.update(file.name.encode() + b"\0" + file.read_bytes())
     return digest.hexdigest()
@@ -90,7 +94,8 @@
 def _compile(folder: Path, modules: list[str]) -> None:
     command = [sys.executable, "-c", "import sys; from mypyc.__main__ import main; main()", *modules]
     root = str(SOURCES.parent.parent)
-    environment = {**os.environ, "PYTHONPATH": root, "MYPYPATH": root}
+    flags = f"{os.environ.get('CFLAGS', '')} {COMPILER_FLAGS}".strip()  # the last of contrary flags holds
+    environment = {**os.environ, "PYTHONPATH": root, "MYPYPATH": root, "CFLAGS": flags}
     done = subprocess.run(command, cwd=folder, capture_output=True, text=True, env=environment, check=False)
     if done.returncode or not [*folder.glob("*.so")]:
         raise RuntimeError(
