A request is judged by its rest until its answer, and its bytes ahead stay unparsed

Cause: ClientConnection._serve looked at what one read had brought. Bytes of later reads were stored unread until the answer was written; those behind a full read of 16 KiB were not looked at either. Change: what is read ahead is kept as bytes, never as parsed messages (http/single_message_reader.py, platform/read_ahead.py), and judged whenever more of it is there, right before each attempt and right before the answer, also where only the kernel has it (SocketEvents.peek). A request that cannot be whole gets 400, and its attempts are withdrawn. Where the node answers sooner than the rest could come, the 200 waits until 10 ms after the request. A frame of the native protocol was judged by later reads before already (the connection closes unanswered); a test holds that now.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -142,11 +142,6 @@
         """Whether the start of a message was read and its end was not."""
         return self._message is not None
 
-    @property
-    def error_precedes_target(self) -> bool:
-        """Whether the bytes behind the last complete request are no request: not even a target was read."""
-        return self.error is not None and self._message is not None and not self._message.target
-
     def take_expectation(self) -> bool:
         """Report whether the peer waits for `100 Continue` before it sends a body (RFC 9110, 10.1.1).
 
--- /dev/null
+++ b/cherrygrade/http/single_message_reader.py
@@ -0,0 +1,63 @@
+"""Incremental reader that stops at the end of each message, free of I/O.
+
+The bytes behind a message stay with the caller: unread bytes take less memory than parsed messages, and what
+follows a message may show that its length is wrong.
+"""
+
+from __future__ import annotations
+
+from cherrygrade.http.reader import Framing, MessageReader
+
+HEAD_END = b"\r\n\r\n"
+LINE_ENDS = b"\r\n"
+
+
+class SingleMessageReader(MessageReader):
+    """Reads messages one at a time."""
+
+    _head = b""
+    """The head that is being read; at most MAX_HEAD_BYTES and one read."""
+    _keeps_head = False
+    """Whether the head is kept until the end of the message."""
+
+    def feed_message(self, data: bytes) -> int:
+        """Read bytes up to the end of a message.
+
+        Nothing is read as long as `messages` has a complete message.
+
+        Returns:
+            The number of bytes that were read; less than all if a message has ended before, or at an error.
+        """
+        position = 0
+        while position < len(data) and self.error is None and not self.messages:
+            size = self._next_size(data[position:] if position else data)
+            super().feed(data[position : position + size])
+            position += size
+            if not (self._in_head or self._keeps_head) or (self._message is None and not self.messages):
+                self._head = b""  # line ends before a message, or an interim response, have ended
+        return position
+
+    def _next_size(self, data: bytes) -> int:
+        """Return how many bytes can be read without going beyond the end of the message."""
+        message = self._message
+        if self._in_head:
+            return self._next_head_bytes(data)
+        if message is not None and message.framing is Framing.CONTENT_LENGTH:
+            return int(message.fields[b"content-length"]) - len(self._body)
+        if message is not None and message.framing is Framing.CHUNKED:
+            return data.find(b"\n") + 1 or len(
+                data
+            )  # the last chunk and its trailer fields end with a line end
+        return len(data)  # only the close marks the end
+
+    def _next_head_bytes(self, data: bytes) -> int:
+        """Return how many bytes of `data` belong to the head, and keep these."""
+        if self._message is None:  # RFC 9112, 2.2: line ends before a message are skipped
+            line_end_bytes = len(data) - len(data.lstrip(LINE_ENDS))
+            if line_end_bytes:
+                return line_end_bytes
+        previous = self._head[1 - len(HEAD_END) :]
+        found_at = (previous + data).find(HEAD_END)
+        size = len(data) if found_at < 0 else found_at + len(HEAD_END) - len(previous)
+        self._head += data[:size]
+        return size
--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -4,94 +4,47 @@
 
 import asyncio
 import socket
-from collections import deque
 from dataclasses import dataclass
-from typing import Protocol
 
-from cherrygrade.http.reader import BodyBudget, HttpError, Message, MessageReader, closes_connection
+from cherrygrade.http.reader import HttpError, Message, closes_connection
+from cherrygrade.http.single_message_reader import SingleMessageReader
 from cherrygrade.http.writer import CONTINUE, encode_response
-from cherrygrade.platform.message_end import is_request_whole
+from cherrygrade.platform.connection_owner import ConnectionOwner
+from cherrygrade.platform.message_end import MAX_REQUEST_WAIT_MS, MessageEnd, request_end
+from cherrygrade.platform.read_ahead import Chunk, ReadAhead
 from cherrygrade.platform.request_parsing import PendingRequest
 from cherrygrade.platform.socket_events import CLOSED, READABLE, SocketEvents
 
 # While a request is open, bytes behind it are read up to this limit, so that the client's close is noticed.
 MAX_READ_AHEAD_BYTES = 16 * 1024
-READ_AHEAD_CHUNK_MS = 20.0  # bytes read ahead within this time count as received with the first of them
 WRITE_HIGH_WATER_BYTES = 128 * 1024  # while more answer bytes are unsent, no further request is served
 # After this process has closed its side, bytes that still arrive are discarded until the client closes. A
 # close with unread bytes resets the connection, and the client loses an answer that it has not read.
 MAX_DISCARDED_BYTES = 256 * 1024
+OK = 200
+BAD_REQUEST = 400
+SERVICE_UNAVAILABLE = 503
 REQUEST_TIMEOUT = 408
+MAX_REQUEST_LINE_BYTES = 2048  # of a request line that follows a request, this much is looked at
 
 
-class ConnectionOwner(Protocol):
-    """The part of the dispatcher that its clients' connections use."""
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer that waits until the end of its request is certain."""
 
-    refused: int
-    """Number of messages that were refused because they contained no acceptable request."""
-
-    @property
-    def closing(self) -> bool:
-        """Whether connections are to be closed after their next answer."""
-
-    @property
-    def ready(self) -> bool:
-        """Whether clients may send requests; the answer to `GET /ready`."""
-
-    @property
-    def request_budget(self) -> BodyBudget:
-        """The memory limit that long request bodies share."""
-
-    @property
-    def receive_buffer(self) -> memoryview:
-        """A buffer that all connections share; bytes read into it are copied out at once."""
-
-    def clock(self) -> float:
-        """Return the time of the rounds' clock in ms."""
-
-    def admit(self, client: ClientConnection) -> bool:
-        """Register a new connection; return False if there is no place for it."""
-
-    def mark_active(self, client: ClientConnection) -> None:
-        """Note that the client has sent a complete request."""
-
-    def mark_idle(self, client: ClientConnection) -> None:
-        """Note that all requests of the client are answered."""
-
-    def linger(self, client: ClientConnection) -> None:
-        """Note that one side has closed; the connection ends when the other has, or after a time limit."""
-
-    def remove(self, client: ClientConnection) -> None:
-        """Forget a connection that is closed on both sides."""
-
-    def submit(self, client: ClientConnection, message: Message) -> PendingRequest:
-        """Hand a request to the scheduler.
-
-        Raises:
-            HttpError: The message contains no acceptable request.
-        """
-
-    def abandon(self, pending: PendingRequest) -> None:
-        """Cancel a request whose client has closed."""
-
-
-@dataclass(slots=True)
-class _ReadAheadChunk:
-    """Bytes that arrived while a request was open."""
-
-    received_ms: float
-    """When the bytes arrived. The deadline of a request counts from the arrival of its last byte, not from
-    the answer to the request before it."""
-    data: bytearray
+    status: int
+    body: bytes
+    fields: bytes
+    close: bool
 
 
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
 
-    Its memory is bounded: one request, the messages of one read, and the read-ahead.
+    Its memory is bounded: one request, a part of the next one, and the read-ahead.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         """Create a connection that the event loop has not connected yet."""
         self.request: PendingRequest | None = None
         """The open request: handed to the scheduler and not yet answered."""
@@ -103,11 +56,12 @@
         self.is_closing = False
         """Whether the connection is being closed: no request is served, arriving bytes are discarded."""
         self._owner = owner
-        self._reader = MessageReader(responses=False, budget=owner.request_budget)
+        self._reader = SingleMessageReader(responses=False, budget=owner.request_budget)
         self._message: Message | None = None  # of the open request; its body uses the budget until the answer
-        self._queue: deque[Message] = deque()  # read and not yet served
-        self._read_ahead: deque[_ReadAheadChunk] = deque()
-        self._read_ahead_bytes = 0
+        self._message_end = MessageEnd.OPEN  # of the open request
+        self._read_ahead = ReadAhead()
+        self._answer: _Answer | None = None  # to the open request; waits for the timer
+        self._answer_timer: asyncio.TimerHandle | None = None
         self._discarded_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._socket_events: SocketEvents | None = None
@@ -139,12 +93,14 @@
             return
         data = bytes(self._owner.receive_buffer[:nbytes])
         # The reader must get bytes in the order of their arrival, so new bytes queue behind older ones.
-        if self.request is not None or self._queue or self._read_ahead:
-            self._store_read_ahead(data)
-            if self._read_ahead_bytes >= MAX_READ_AHEAD_BYTES and self._transport is not None:
+        if not self.is_idle:
+            self._read_ahead.append(data, self._owner.clock())
+            if self._read_ahead.size >= MAX_READ_AHEAD_BYTES and self._transport is not None:
                 self._transport.pause_reading()
+            if self.request is not None:
+                self._judge_request(self._following_bytes())
             return
-        self._feed(data, self._owner.clock())
+        self._feed(Chunk(self._owner.clock(), data))
         self._serve_next()
 
     def eof_received(self) -> bool:
@@ -173,7 +129,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is open or waits to be served."""
-        return self.request is None and not self._queue
+        return self.request is None and not (self._reader.messages or self._read_ahead.size)
 
     @property
     def within_message(self) -> bool:
@@ -190,19 +146,38 @@
         """Whether the kernel has unread bytes, which may be a request that has to be answered."""
         return not self.is_closing and bool(self._pending_events() & READABLE)
 
-    def check_closed(self) -> bool:
-        """Return whether the client has closed; if so, abort its connection.
+    def check_request(self) -> bool:
+        """Return whether the open request may be sent: the client has not closed, and it is whole.
 
-        Called right before an attempt is sent. The client's close may have reached the kernel and not the
-        event loop, which does not deliver it at all while reading is paused.
+        Called right before an attempt is sent. Bytes and the client's close may have reached the kernel and
+        not the event loop, which does not deliver them at all while reading is paused.
         """
         if self.is_closing or self._transport is None:
-            return True
-        if not self._pending_events() & CLOSED:
             return False
-        self._client_closed()
-        self.abort()
-        return True
+        events = self._pending_events()
+        if events & CLOSED:
+            self._client_closed()
+            self.abort()
+            return False
+        return self._judge_request(self._following_bytes(events))
+
+    def _judge_request(self, following: bytes) -> bool:
+        """Refuse the open request if the bytes behind it leave its end in doubt; return whether it stays."""
+        if self._message_end is MessageEnd.OPEN and self._message is not None:
+            self._message_end = request_end(self._message, following)
+            if self._message_end is MessageEnd.IN_DOUBT:
+                self._refuse_open_request()
+        return not self.is_closing
+
+    def _following_bytes(self, events: int = 0) -> bytes:
+        """Return the first bytes behind the open request, also if only the kernel has them.
+
+        Args:
+            events: The pending events of the socket.
+        """
+        if not self._read_ahead.size and events & READABLE and self._socket_events is not None:
+            return self._socket_events.peek(MAX_REQUEST_LINE_BYTES)
+        return self._read_ahead.start(MAX_REQUEST_LINE_BYTES)
 
     def _pending_events(self) -> int:
         if self._socket_events is None:
@@ -226,13 +201,33 @@
             close: Close the connection after the answer. The client's `Connection: close` and a shutdown do
                 the same.
         """
-        close = close or self._close_after_answer or self._owner.closing
+        self._answer = _Answer(status, body, fields, close)
+        wait_ms = 0.0
+        if status == OK and self._message is not None and self._message_end is MessageEnd.OPEN:
+            wait_ms = self._message.received_ms + MAX_REQUEST_WAIT_MS - self._owner.clock()
+        if wait_ms > 0.0 and not self._owner.closing:
+            loop = asyncio.get_running_loop()
+            self._answer_timer = loop.call_later(wait_ms / 1000.0, self._write_answer)
+        else:
+            self._write_answer()
+
+    def _write_answer(self) -> None:
+        """Write the answer that waits, unless bytes behind its request leave the request's end in doubt."""
+        answer = self._answer
+        if answer is None:
+            return
+        if answer.status == OK:
+            self._judge_request(self._following_bytes(self._pending_events()))
+            if self._message_end is MessageEnd.IN_DOUBT:
+                return
+        close = answer.close or self._close_after_answer or self._owner.closing
+        self._discard_answer()
         self.request = None
         self._release_message()
         self.idle_since_ms = self._owner.clock()
         if self._transport is None or self.is_closing:
             return
-        self._transport.write(encode_response(status, body, fields, close))
+        self._transport.write(encode_response(answer.status, answer.body, answer.fields, close))
         if close:
             self.close_gracefully()
             return
@@ -244,6 +239,7 @@
         """Close this side after the bytes written so far, then wait for the client's close."""
         if self.is_closing or self._transport is None:
             return
+        self._write_answer()
         self._stop_serving()
         self._owner.linger(self)
         if not self._transport.is_closing():
@@ -279,19 +275,29 @@
             # takes no place among the lingering connections.
             if self.unsent_bytes:
                 self._owner.linger(self)
+        self._abandon_request()
+
+    def _abandon_request(self) -> None:
+        """Withdraw the open request, if it has no answer yet."""
         pending, self.request = self.request, None
-        if pending is not None:
+        if pending is not None and self._answer is None:
             self._owner.abandon(pending)
+        self._discard_answer()
         self._release_message()
 
+    def _discard_answer(self) -> None:
+        self._answer = None
+        if self._answer_timer is not None:
+            self._answer_timer.cancel()
+            self._answer_timer = None
+
     def _stop_serving(self) -> None:
         self.is_closing = True
-        for message in self._queue:
+        for message in self._reader.messages:
             self._owner.request_budget.release(message)
-        self._queue.clear()
+        self._reader.messages.clear()
         self._reader.release()
         self._read_ahead.clear()
-        self._read_ahead_bytes = 0
         self.idle_since_ms = self._owner.clock()
 
     def _release_message(self) -> None:
@@ -302,46 +308,38 @@
 
     # Reading and serving.
 
-    def _store_read_ahead(self, data: bytes) -> None:
-        now = self._owner.clock()
-        self._read_ahead_bytes += len(data)
-        if self._read_ahead and now - self._read_ahead[-1].received_ms < READ_AHEAD_CHUNK_MS:
-            self._read_ahead[-1].data.extend(data)
-        else:
-            self._read_ahead.append(_ReadAheadChunk(now, bytearray(data)))
-
     def _feed_read_ahead(self) -> None:
-        chunk = self._read_ahead.popleft()
-        self._read_ahead_bytes -= len(chunk.data)
+        chunk = self._read_ahead.take()
         if self._transport is not None and not self._transport.is_reading():
             self._transport.resume_reading()
-        self._feed(bytes(chunk.data), chunk.received_ms)
+        self._feed(chunk)
 
-    def _feed(self, data: bytes, received_ms: float) -> None:
-        """Read bytes that arrived at `received_ms`, and queue the messages that are complete now."""
+    def _feed(self, chunk: Chunk) -> None:
+        """Read bytes up to the end of a message; those behind it are read ahead."""
         reader = self._reader
         was_within_message = reader.within_message
-        reader.feed(data)
+        data = bytes(chunk.data)
+        size = reader.feed_message(data)
         if not was_within_message and reader.within_message:
             self.idle_since_ms = self._owner.clock()
+        if reader.error is None and size < len(data):
+            self._read_ahead.put_back(Chunk(chunk.received_ms, data[size:]))
         for message in reader.messages:
-            message.received_ms = received_ms
-            self._queue.append(message)
-        reader.messages.clear()
+            message.received_ms = chunk.received_ms
 
     def _serve_next(self) -> None:
-        """Serve queued messages until a request is open or no message is left."""
+        """Serve messages until a request is open or no complete message is left."""
         if self._serving:  # called by an answer within the loop below, which continues by itself
             return
         self._serving = True
         try:
             while self.request is None and not (self.is_closing or self._writing_paused):
-                if self._queue:
-                    self._serve(self._queue.popleft())
-                elif self._read_ahead:
-                    self._feed_read_ahead()
+                if self._reader.messages:
+                    self._serve(self._reader.messages.pop())
                 elif self._reader.error is not None:
                     self._refuse(self._reader.error)
+                elif self._read_ahead.size:
+                    self._feed_read_ahead()
                 else:
                     if self._reader.take_expectation() and self._transport is not None:
                         self._transport.write(CONTINUE)
@@ -353,19 +351,24 @@
         self.has_requested = True
         self._owner.mark_active(self)
         self._message = message
+        self._message_end = MessageEnd.OPEN
         self._close_after_answer = closes_connection(message)
-        is_followed_by_garbage = not self._queue and self._reader.error_precedes_target
-        if not is_request_whole(message, is_followed_by_garbage):
-            self._refuse(HttpError(400, "no request follows this one: is its Content-Length too small?"))
+        if not self._judge_request(self._following_bytes(self._pending_events())):
             return
         if message.target == b"/ready" and message.method == b"GET":
-            self.answer(200 if self._owner.ready else 503)
+            self._answer = _Answer(OK if self._owner.ready else SERVICE_UNAVAILABLE, b"", b"", close=False)
+            self._write_answer()
             return
         try:
             self.request = self._owner.submit(self, message)
         except HttpError as error:
             self._refuse(error)
 
+    def _refuse_open_request(self) -> None:
+        """Refuse the open request, which the bytes behind it show not to be whole; it may have been sent."""
+        self._abandon_request()
+        self._refuse(HttpError(BAD_REQUEST, "no request follows this one: is its Content-Length too small?"))
+
     def _refuse(self, error: HttpError) -> None:
         self._owner.refused += 1
         self.answer(error.status, str(error).encode("latin-1", "replace"), close=True)
--- a/cherrygrade/platform/connection_pool.py
+++ b/cherrygrade/platform/connection_pool.py
@@ -161,7 +161,7 @@
         assert isinstance(pending, PendingRequest)
         if pending.finished or now >= attempt.expires_ms or self.node.state is not NodeState.LIVE:
             return False
-        if pending.client is None or pending.client.check_closed():
+        if pending.client is None or not pending.client.check_request():
             return False
         return self.rounds.scheduler.admission.may_run_again(pending, self.node, now, attempt)
 
--- a/cherrygrade/platform/message_end.py
+++ b/cherrygrade/platform/message_end.py
@@ -25,8 +25,11 @@
 may come late. A node that writes a response in parts, one right behind the other, has written the next part
 by then. Nothing of the node is held meanwhile but the connection, which rests anyway.
 
-A client may send its next request at once, so only bytes that are no request leave the end of a request in
-doubt. It is refused then, as DAYS, "Bad clients", asks for requests with wrong lengths.
+A client may send its next request at once, so only bytes that cannot begin a request leave the end of a
+request in doubt. It is refused then, as DAYS, "Bad clients", asks for requests with wrong lengths. A request
+is sent to a node without a wait, since a client's blocks may be any time apart. It is judged again whenever
+more has arrived, before each attempt and before its answer, and it is not answered as served before
+MAX_REQUEST_WAIT_MS have passed.
 """
 
 from __future__ import annotations
@@ -34,21 +37,33 @@
 from enum import Enum
 
 from cherrygrade.http.reader import Framing, Message
+from cherrygrade.http.request_start import RequestStart, request_start
 from cherrygrade.http.response_reader import Trailing
 
 MAX_RESPONSE_WAIT_MS = 10.0
 """Time from a response whose end is not certain until it is used, or fails."""
 
 
-class ResponseEnd(Enum):
-    """Whether a response is known to end where its framing says."""
+MAX_REQUEST_WAIT_MS = MAX_RESPONSE_WAIT_MS
+"""Time from a request whose end is not certain until it may be answered as served."""
 
-    CERTAIN = "the response is whole"
-    OPEN = "bytes may follow, or those that follow may become a copy of the response"
+
+class MessageEnd(Enum):
+    """Whether a message is known to end where its framing says."""
+
+    CERTAIN = "the message is whole"
+    OPEN = "bytes may follow, or it cannot be told yet what those are that follow"
     IN_DOUBT = "the bytes that follow may be the rest of the body"
 
 
-def response_end(framing: Framing, trailing: Trailing) -> ResponseEnd:
+REQUEST_END_BY_START = {
+    RequestStart.YES: MessageEnd.CERTAIN,
+    RequestStart.UNDECIDED: MessageEnd.OPEN,
+    RequestStart.NO: MessageEnd.IN_DOUBT,
+}
+
+
+def response_end(framing: Framing, trailing: Trailing) -> MessageEnd:
     """Return whether a complete response ends where its framing says, when some of its bytes have arrived.
 
     Args:
@@ -56,28 +71,30 @@
         trailing: What has arrived behind it.
     """
     if framing is Framing.CHUNKED or trailing is Trailing.COPY:
-        return ResponseEnd.CERTAIN
+        return MessageEnd.CERTAIN
     if trailing in (Trailing.NOTHING, Trailing.PARTIAL_COPY):
-        return ResponseEnd.OPEN
-    return ResponseEnd.IN_DOUBT
+        return MessageEnd.OPEN
+    return MessageEnd.IN_DOUBT
 
 
-def response_end_after_wait(trailing: Trailing) -> ResponseEnd:
+def response_end_after_wait(trailing: Trailing) -> MessageEnd:
     """Return whether a response whose end was open is whole, MAX_RESPONSE_WAIT_MS after it.
 
     Args:
         trailing: What has arrived behind the response.
     """
-    return ResponseEnd.CERTAIN if trailing is Trailing.NOTHING else ResponseEnd.IN_DOUBT
+    return MessageEnd.CERTAIN if trailing is Trailing.NOTHING else MessageEnd.IN_DOUBT
 
 
-def is_request_whole(request: Message, is_followed_by_garbage: bool) -> bool:
+def request_end(request: Message, following: bytes) -> MessageEnd:
     """Return whether a client's complete request ends where its framing says.
 
     Args:
         request: The request.
-        is_followed_by_garbage: Whether the bytes that have arrived behind it are no request.
+        following: The first bytes that have arrived behind it.
     """
     # A read without a length has no body that could be cut short; a write may have a body all the same.
     has_no_body = request.framing is Framing.NO_BODY and request.method == b"GET"
-    return has_no_body or request.framing is Framing.CHUNKED or not is_followed_by_garbage
+    if has_no_body or request.framing is Framing.CHUNKED:
+        return MessageEnd.CERTAIN
+    return REQUEST_END_BY_START[request_start(following)]
--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -10,7 +10,7 @@
 from cherrygrade.http.reader import BodyBudget, Framing, Message, closes_connection
 from cherrygrade.http.response_reader import ResponseReader, Trailing
 from cherrygrade.inflight import InflightAttempt
-from cherrygrade.platform.message_end import ResponseEnd, response_end, response_end_after_wait
+from cherrygrade.platform.message_end import MessageEnd, response_end, response_end_after_wait
 from cherrygrade.platform.node_messages import response_outcome
 from cherrygrade.platform.socket_events import SocketEvents
 from cherrygrade.scheduling.model import Outcome
@@ -126,9 +126,9 @@
         end = response_end(response.framing, self._reader.trailing)
         # Whatever follows a response by which the attempt has failed anyway, nothing of it is used.
         has_failed = response_outcome(response) is Outcome.FAILED
-        if end is ResponseEnd.CERTAIN or (has_failed and self._reader.trailing is Trailing.NOTHING):
+        if end is MessageEnd.CERTAIN or (has_failed and self._reader.trailing is Trailing.NOTHING):
             self._take_response(attempt)
-        elif end is ResponseEnd.IN_DOUBT:
+        elif end is MessageEnd.IN_DOUBT:
             self._reject_response(attempt)
         elif not self._is_awaiting_end:
             self._is_awaiting_end = True
@@ -144,7 +144,7 @@
         attempt = self.attempt
         if attempt is None or self.is_closed or not self._is_awaiting_end:
             return True
-        if response_end_after_wait(self._reader.trailing) is ResponseEnd.IN_DOUBT:
+        if response_end_after_wait(self._reader.trailing) is MessageEnd.IN_DOUBT:
             self._reject_response(attempt)
         elif not self.is_clean():
             return False
--- a/cherrygrade/platform/request_parsing.py
+++ b/cherrygrade/platform/request_parsing.py
@@ -35,8 +35,11 @@
     def request(self) -> PendingRequest | None:
         """The client's open request."""
 
-    def check_closed(self) -> bool:
-        """Return whether the client has closed, even if only the kernel knows it so far."""
+    def check_request(self) -> bool:
+        """Return whether the open request may be sent: the client has not closed, and it is whole.
+
+        Called right before each attempt; bytes and the close that only the kernel has so far count.
+        """
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
         """Write the final answer."""
--- a/tests/gateway/test_body_end.py
+++ b/tests/gateway/test_body_end.py
@@ -7,6 +7,7 @@
 import pytest
 from support.gateway_site import GatewaySite, run
 
+from cherrygrade.standin.node import Build
 from cherrygrade.wire.frames import HEAD, SKIP_IF_UNKNOWN, FrameReader, ProtocolError, encode
 from cherrygrade.wire.messages import VERSION, Bye, Hello, Ok, WriteRpc
 
@@ -76,3 +77,23 @@
         writer.close()
 
     run(case)
+
+
+# Guards against the same failure where the rest arrives in a later read: the write may run, but is not answered.
+def test_write_whose_rest_arrives_before_its_answer_is_not_answered_as_run():
+    async def case(site: GatewaySite) -> None:
+        await site.node(build=Build(unit_ms=200.0, put_off=0.0))
+        gateway = await site.gateway()
+        reader, writer = await asyncio.open_connection(*gateway.address.split(":"))
+        writer.write(HELLO + encode(WriteRpc(1, "write", "v", "k", 0, 0, 900.0), 4) + BODY[:4])
+        while not gateway.open_requests:
+            await asyncio.sleep(0.005)
+        writer.write(BODY[4:])
+        recorder = FrameRecorder()
+        recorder.read(await asyncio.wait_for(reader.read(), 3.0))
+        assert not any(isinstance(message, Ok) for message, _ in recorder.frames)
+        assert isinstance(recorder.frames[-1][0], Bye)
+        assert not (gateway.open_requests or gateway.sessions)
+        writer.close()
+
+    run(case)
