What peers make the platform's dispatcher hold is under one limit that follows from its memory

Cause: only bodies beyond 64 KiB were counted. Shorter ones, fields, parsed messages behind an open request and unsent answers up to 128 KiB a client were bounded for each connection alone, and 431 clients may be connected. The idle process took 24.3 MiB of 32. Change: connections report what they hold (platform/peer_memory.py); beyond the limit the hungriest gives it up, by what no whole request needs: an error and the close, or a reset where answers are not read. Half of the memory beyond that of the idle process, measured at the start, is counted out. Budgets for long bodies are parts of it. A closed reader drops its parser, which it referred to in a circle. Reading is never paused: a client that sends 256 KiB ahead gets an error, and one that leaves is noticed behind anything that it has sent. At most 8 messages of a client are served in a row. Tests that waited for reading to be paused wait for the same bytes to be read ahead; those that lowered the limit of unsent answers lower the common one. Their bounds are unchanged.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -19,6 +19,8 @@
 MAX_LONG_BODY_BYTES = 1024 * 1024  # a body beyond MAX_BODY_BYTES also needs memory of a `BodyBudget`
 MAX_FRAMING_FACTOR = 4  # bytes of a body as transferred, including chunk sizes and extensions, per body byte
 MAX_ERROR_CHARS = 200
+MESSAGE_BYTES = 1024  # memory of a message without its fields and its body
+FIELD_BYTES = 200  # memory of a field besides its name and its value
 # Scheme and authority of a request target in absolute form (RFC 9112, 3.2.2). They address this server and
 # are removed; only the path and the query are forwarded.
 ABSOLUTE_FORM_PREFIX = re.compile(rb"(?i:http)://[^/?#]+(?=/)")
@@ -64,6 +66,9 @@
         self.free(size)
 
 
+CLOSED_STATUS = 400
+
+
 class HttpError(Exception):
     """The peer sent a message that cannot be used; the text names the fault."""
 
@@ -111,6 +116,11 @@
         self.received_ms = 0.0
         """When the last byte arrived, on the clock of the caller that sets it; 0 until then."""
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the message takes, without the target; the head is bounded by MAX_HEAD_BYTES."""
+        return MESSAGE_BYTES + FIELD_BYTES * len(self.fields) + len(self.body)
+
 
 class MessageReader:
     """Reads the messages of one direction of a connection."""
@@ -142,6 +152,14 @@
         """Whether the start of a message was read and its end was not."""
         return self._message is not None
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the message that is being read and of the complete ones."""
+        size = sum(message.memory_bytes for message in self.messages)
+        if self._message is not None:
+            size += self._message.memory_bytes + self._head_bytes + len(self._body)
+        return size
+
     def take_expectation(self) -> bool:
         """Report whether the peer waits for `100 Continue` before it sends a body (RFC 9110, 10.1.1).
 
@@ -258,6 +276,21 @@
             self._budget.free(self._claimed_bytes)
         self._claimed_bytes = 0
 
+    def close(self) -> None:
+        """Drop all messages, and return what they claimed; nothing is read any more.
+
+        The parser refers to the reader and the reader to the parser, so that without this the memory of both
+        would stay until a run of the garbage collector.
+        """
+        self.release()
+        if self._budget is not None:
+            for message in self.messages:
+                self._budget.release(message)
+        self.messages.clear()
+        self._message, self._body = None, bytearray()
+        self._parser = None
+        self.error = self.error or HttpError(CLOSED_STATUS, "the connection is closed")
+
     def end(self) -> None:
         """Handle the orderly close of the connection by the peer, which ends a response without a length."""
         message = self._message
--- a/cherrygrade/http/single_message_reader.py
+++ b/cherrygrade/http/single_message_reader.py
@@ -37,13 +37,23 @@
                 self._head = b""  # line ends before a message, or an interim response, have ended
         return position
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the message that is being read, of its head, and of the complete message."""
+        return super().memory_bytes + len(self._head)
+
+    def close(self) -> None:
+        """Drop all messages, and return what they claimed; nothing is read any more."""
+        super().close()
+        self._head = b""
+
     def _next_size(self, data: bytes) -> int:
         """Return how many bytes can be read without going beyond the end of the message."""
         message = self._message
         if self._in_head:
             return self._next_head_bytes(data)
         if message is not None and message.framing is Framing.CONTENT_LENGTH:
-            return int(message.fields[b"content-length"]) - len(self._body)
+            return min(len(data), int(message.fields[b"content-length"]) - len(self._body))
         if message is not None and message.framing is Framing.CHUNKED:
             return data.find(b"\n") + 1 or len(
                 data
--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -11,12 +11,15 @@
 from cherrygrade.http.writer import CONTINUE, encode_response
 from cherrygrade.platform.connection_owner import ConnectionOwner
 from cherrygrade.platform.message_end import MAX_REQUEST_WAIT_MS, MessageEnd, request_end
-from cherrygrade.platform.read_ahead import Chunk, ReadAhead
+from cherrygrade.platform.peer_memory import CONNECTION_BYTES, REQUEST_BYTES
+from cherrygrade.platform.read_ahead import ReadAhead
 from cherrygrade.platform.request_parsing import PendingRequest
 from cherrygrade.platform.socket_events import CLOSED, READABLE, SocketEvents
 
-# While a request is open, bytes behind it are read up to this limit, so that the client's close is noticed.
-MAX_READ_AHEAD_BYTES = 16 * 1024
+# While a request is open, bytes behind it are read on, so that the client's close is noticed; a client that
+# sends more than this ahead gets an error.
+MAX_READ_AHEAD_BYTES = 256 * 1024
+MAX_SERVED_PER_TURN = 8  # messages of a client in a row, before those of other clients get their turn
 WRITE_HIGH_WATER_BYTES = 128 * 1024  # while more answer bytes are unsent, no further request is served
 # After this process has closed its side, bytes that still arrive are discarded until the client closes. A
 # close with unread bytes resets the connection, and the client loses an answer that it has not read.
@@ -25,6 +28,16 @@
 BAD_REQUEST = 400
 SERVICE_UNAVAILABLE = 503
 REQUEST_TIMEOUT = 408
+BAD_GATEWAY = 502
+MAX_ERROR_ANSWER_BYTES = (
+    1024  # unsent bytes of a client beyond these are those of an answer that it does not read
+)
+NO_MEMORY = HttpError(
+    SERVICE_UNAVAILABLE, "there is no memory for this now: too much is unread or unfinished"
+)
+NO_MEMORY_AFTER_SEND = HttpError(
+    BAD_GATEWAY, "the request may have run; there is no memory for what follows it"
+)
 MAX_REQUEST_LINE_BYTES = 2048  # of a request line that follows a request, this much is looked at
 
 
@@ -41,7 +54,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
 
-    Its memory is bounded: one request, a part of the next one, and the read-ahead.
+    It reports the memory that it holds for the client to `PeerMemory`: one request, a part of the next one,
+    bytes read ahead and unsent answers.
     """
 
     def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
@@ -67,6 +81,7 @@
         self._socket_events: SocketEvents | None = None
         self._writing_paused = False
         self._serving = False  # `_serve_next` is running
+        self._turn_is_scheduled = False  # `_serve_next` will be called for messages that wait
         self._close_after_answer = False  # the open request has `Connection: close`
 
     # Callbacks of the event loop.
@@ -76,7 +91,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        if not self._owner.admit(self):
+        if self._owner.admit(self):
+            self._owner.peer_memory.update(self)
+        else:
             self.is_closing = True
             transport.close()
 
@@ -91,17 +108,14 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.abort()
             return
-        data = bytes(self._owner.receive_buffer[:nbytes])
-        # The reader must get bytes in the order of their arrival, so new bytes queue behind older ones.
-        if not self.is_idle:
-            self._read_ahead.append(data, self._owner.clock())
-            if self._read_ahead.size >= MAX_READ_AHEAD_BYTES and self._transport is not None:
-                self._transport.pause_reading()
-            if self.request is not None:
-                self._judge_request(self._following_bytes())
-            return
-        self._feed(Chunk(self._owner.clock(), data))
-        self._serve_next()
+        self._read_ahead.append(self._owner.receive_buffer[:nbytes], self._owner.clock())
+        if self.request is not None:
+            self._judge_request(self._following_bytes())
+        else:
+            self._serve_next()
+        if self._read_ahead.size > MAX_READ_AHEAD_BYTES:
+            self.give_up()
+        self._report_memory()
 
     def eof_received(self) -> bool:
         """Handle the close of the client's side."""
@@ -113,6 +127,8 @@
         self._transport = None
         self._socket_events = None
         self._client_closed()
+        self._reader.close()
+        self._owner.peer_memory.remove(self)
         self._owner.remove(self)
 
     def pause_writing(self) -> None:
@@ -123,6 +139,7 @@
         """Continue to serve requests: the client has read enough of its answers."""
         self._writing_paused = False
         self._serve_next()
+        self._report_memory()
 
     # State that the dispatcher reads.
 
@@ -141,6 +158,32 @@
         """Number of answer bytes that this process still buffers because the kernel has not taken them."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the connection holds for the client."""
+        size = self.idle_bytes
+        if self._message is not None:
+            size += REQUEST_BYTES + self._message.memory_bytes
+        return size + (len(self._answer.body) if self._answer is not None else 0)
+
+    @property
+    def idle_bytes(self) -> int:
+        """The part of `held_bytes` that no whole request needs."""
+        return CONNECTION_BYTES + self._read_ahead.size + self._reader.memory_bytes + self.unsent_bytes
+
+    def give_up(self) -> None:
+        """Answer with an error and close, so that next to nothing is held; abort if answers are not read."""
+        if self.is_closing or self.unsent_bytes > MAX_ERROR_ANSWER_BYTES:
+            self.abort()
+            return
+        has_open_request = self.request is not None
+        self._abandon_request()
+        self._refuse(NO_MEMORY_AFTER_SEND if has_open_request else NO_MEMORY)
+
+    def _report_memory(self) -> None:
+        if self._transport is not None:
+            self._owner.peer_memory.update(self)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the kernel has unread bytes, which may be a request that has to be answered."""
@@ -228,6 +271,7 @@
         if self._transport is None or self.is_closing:
             return
         self._transport.write(encode_response(answer.status, answer.body, answer.fields, close))
+        self._report_memory()
         if close:
             self.close_gracefully()
             return
@@ -293,10 +337,7 @@
 
     def _stop_serving(self) -> None:
         self.is_closing = True
-        for message in self._reader.messages:
-            self._owner.request_budget.release(message)
-        self._reader.messages.clear()
-        self._reader.release()
+        self._reader.close()
         self._read_ahead.clear()
         self.idle_since_ms = self._owner.clock()
 
@@ -309,44 +350,55 @@
     # Reading and serving.
 
     def _feed_read_ahead(self) -> None:
-        chunk = self._read_ahead.take()
-        if self._transport is not None and not self._transport.is_reading():
-            self._transport.resume_reading()
-        self._feed(chunk)
-
-    def _feed(self, chunk: Chunk) -> None:
-        """Read bytes up to the end of a message; those behind it are read ahead."""
+        """Parse bytes up to the end of a message."""
         reader = self._reader
         was_within_message = reader.within_message
-        data = bytes(chunk.data)
-        size = reader.feed_message(data)
+        received_ms = self._read_ahead.received_ms
+        self._read_ahead.consume(reader.feed_message(self._read_ahead.piece()))
         if not was_within_message and reader.within_message:
             self.idle_since_ms = self._owner.clock()
-        if reader.error is None and size < len(data):
-            self._read_ahead.put_back(Chunk(chunk.received_ms, data[size:]))
         for message in reader.messages:
-            message.received_ms = chunk.received_ms
+            message.received_ms = received_ms
 
     def _serve_next(self) -> None:
-        """Serve messages until a request is open or no complete message is left."""
+        """Serve messages until a request is open or no complete message is left, or for a turn."""
         if self._serving:  # called by an answer within the loop below, which continues by itself
             return
         self._serving = True
+        served = 0
         try:
-            while self.request is None and not (self.is_closing or self._writing_paused):
-                if self._reader.messages:
-                    self._serve(self._reader.messages.pop())
-                elif self._reader.error is not None:
-                    self._refuse(self._reader.error)
-                elif self._read_ahead.size:
-                    self._feed_read_ahead()
-                else:
-                    if self._reader.take_expectation() and self._transport is not None:
-                        self._transport.write(CONTINUE)
+            while self.request is None and not self.is_closing and self._read_message():
+                if served == MAX_SERVED_PER_TURN:
+                    self._schedule_turn()
                     break
+                served += 1
+                self._serve(self._reader.messages.pop())
         finally:
             self._serving = False
 
+    def _read_message(self) -> bool:
+        """Parse what was read ahead; return whether a message is complete and may be served."""
+        while not self._reader.messages and self._reader.error is None and self._read_ahead.size:
+            self._feed_read_ahead()
+        if self._writing_paused:
+            return False
+        if self._reader.messages:
+            return True
+        if self._reader.error is not None:
+            self._refuse(self._reader.error)
+        elif self._reader.take_expectation() and self._transport is not None:
+            self._transport.write(CONTINUE)
+        return False
+
+    def _schedule_turn(self) -> None:
+        if not self._turn_is_scheduled:
+            self._turn_is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._turn_is_scheduled = False
+        self._serve_next()
+
     def _serve(self, message: Message) -> None:
         self.has_requested = True
         self._owner.mark_active(self)
--- a/cherrygrade/platform/connection_owner.py
+++ b/cherrygrade/platform/connection_owner.py
@@ -5,6 +5,7 @@
 from typing import Protocol, TypeVar
 
 from cherrygrade.http.reader import BodyBudget, Message
+from cherrygrade.platform.peer_memory import PeerMemory
 from cherrygrade.platform.request_parsing import PendingRequest
 
 Client_contra = TypeVar("Client_contra", contravariant=True)
@@ -29,6 +30,10 @@
     def request_budget(self) -> BodyBudget:
         """The memory limit that long request bodies share."""
 
+    @property
+    def peer_memory(self) -> PeerMemory:
+        """The memory limit that all connections share."""
+
     @property
     def receive_buffer(self) -> memoryview:
         """A buffer that all connections share; bytes read into it are copied out at once."""
--- a/cherrygrade/platform/connection_pool.py
+++ b/cherrygrade/platform/connection_pool.py
@@ -63,6 +63,7 @@
         self.rounds = resources.rounds
         self.receive_buffer = resources.receive_buffer
         self.answer_budget = resources.socket_budget.answer_budget
+        self.peer_memory = resources.socket_budget.peer_memory
         self.waiting: deque[InflightAttempt] = deque()
         """Attempts that have not been sent; removed when they are sent, fail to connect, or time out."""
         self.connections: dict[NodeConnection, None] = {}
--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -12,6 +12,7 @@
 from cherrygrade.inflight import InflightAttempt
 from cherrygrade.platform.message_end import MessageEnd, response_end, response_end_after_wait
 from cherrygrade.platform.node_messages import response_outcome
+from cherrygrade.platform.peer_memory import CONNECTION_BYTES, PeerMemory
 from cherrygrade.platform.socket_events import SocketEvents
 from cherrygrade.scheduling.model import Outcome
 
@@ -29,6 +30,10 @@
     def answer_budget(self) -> BodyBudget:
         """The memory limit that long responses share."""
 
+    @property
+    def peer_memory(self) -> PeerMemory:
+        """The memory limit that all connections share."""
+
     def connected(self, connection: NodeConnection) -> None:
         """Handle an established connection."""
 
@@ -96,6 +101,7 @@
         if self.is_closed:
             self.close()
             return
+        self._owner.peer_memory.update(self)
         self._owner.connected(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -117,9 +123,14 @@
             if nbytes < len(self._owner.receive_buffer) or self.is_clean():
                 self._handle_response(attempt, response)
         elif self._reader.error is not None:
-            self.attempt = None
-            self.close()
-            self._owner.response_invalid(attempt)
+            self._response_invalid(attempt)
+        if not self.is_closed:
+            self._owner.peer_memory.update(self)
+
+    def _response_invalid(self, attempt: InflightAttempt) -> None:
+        self.attempt = None
+        self.close()
+        self._owner.response_invalid(attempt)
 
     def _handle_response(self, attempt: InflightAttempt, response: Message) -> None:
         """Finish the attempt with a complete response, once its end is certain or in doubt."""
@@ -192,6 +203,8 @@
         self._discard_response()
         attempt, self.attempt = self.attempt, None
         was_closed, self.is_closed = self.is_closed, True
+        self._owner.peer_memory.remove(self)
+        self._reader.close()
         self._owner.connection_closed(self)
         if attempt is not None and not was_closed:
             # A node cannot have run a request that was not fully sent.
@@ -215,13 +228,34 @@
         attempt.exchange = self
         self.is_fully_sent = True
         self._transport.write(request)
+        self._owner.peer_memory.update(self)
         if self._transport.is_closing():
             self.is_fully_sent = False  # a closing transport sends nothing
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the connection holds for the node."""
+        unsent_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return CONNECTION_BYTES + self._reader.memory_bytes + unsent_bytes
+
+    @property
+    def idle_bytes(self) -> int:
+        """The part of `held_bytes` that no whole request needs: all of it, as the attempt can be repeated."""
+        return self.held_bytes
+
+    def give_up(self) -> None:
+        """Close the connection; an attempt on it has failed and may have run."""
+        attempt = self.attempt
+        if attempt is not None:
+            self._response_invalid(attempt)
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close at once, without reading more or sending buffered bytes."""
         self.is_closed = True
         self._discard_response()
+        self._owner.peer_memory.remove(self)
         if self._transport is not None:
             if self._socket is not None:
                 with contextlib.suppress(OSError):  # the node may have closed already
--- /dev/null
+++ b/cherrygrade/platform/peer_memory.py
@@ -0,0 +1,124 @@
+"""The one limit on the memory that clients and nodes can make this process use; free of I/O and clock.
+
+Each connection reports what it holds for its peer: parts of messages, bytes read ahead, open requests, unsent
+bytes. While all of it exceeds the limit, the connection that holds most besides whole requests gives up what
+it holds: its peer gets an error or the close. Tables whose keys peers choose (volumes, keys, call ids) have a
+fixed part of the limit.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+BYTES_PER_MB = 1024 * 1024
+CONNECTION_BYTES = 6 * 1024
+"""Memory of a connection that holds nothing else."""
+REQUEST_BYTES = 4 * 1024
+"""Memory of an open request with its attempts, besides that of its message."""
+USABLE_FRACTION = 0.5
+"""Part of the memory beyond that of the idle process that is counted out; the allocator needs the rest."""
+MIN_LIMIT_BYTES = 2 * BYTES_PER_MB
+TABLES_DIVISOR = 8
+"""1/8 of the limit is for tables whose keys peers choose."""
+TABLES = 4
+"""Number of such tables: volumes, two generations of early rejections, call ids."""
+TABLE_ENTRY_BYTES = 400
+"""Memory of an entry of such a table, with its key."""
+MIN_TABLE_ENTRIES = 256
+LONG_BODIES_DIVISOR = 2
+"""1/2 of the limit may be promised to long bodies of either direction, by their told lengths."""
+DISCOVERY_DIVISOR = 4
+"""1/4 of the limit is the size of the longest message of discovery."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryLimits:
+    """What peers may make this process hold."""
+
+    connections_bytes: int
+    """Bytes of all connections together."""
+    long_bodies_bytes: int
+    """Bytes that may be promised to long bodies, for requests and for responses each."""
+    table_entries: int
+    """Entries of each table whose keys peers choose."""
+    discovery_message_bytes: int
+    """Bytes of the longest message of discovery."""
+
+    @classmethod
+    def for_process(cls, memory_bytes: int, idle_bytes: int) -> MemoryLimits:
+        """Return the limits for a process.
+
+        Args:
+            memory_bytes: The memory that the process may use.
+            idle_bytes: The memory of the process before any peer has connected.
+        """
+        total = max(MIN_LIMIT_BYTES, int((memory_bytes - idle_bytes) * USABLE_FRACTION))
+        tables_bytes = total // TABLES_DIVISOR
+        return cls(
+            connections_bytes=total - tables_bytes,
+            long_bodies_bytes=total // LONG_BODIES_DIVISOR,
+            table_entries=max(MIN_TABLE_ENTRIES, tables_bytes // (TABLES * TABLE_ENTRY_BYTES)),
+            discovery_message_bytes=total // DISCOVERY_DIVISOR,
+        )
+
+
+class MemoryHolder(Protocol):
+    """A connection that holds memory for its peer."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the connection holds now."""
+
+    @property
+    def idle_bytes(self) -> int:
+        """The part of `held_bytes` that no whole request needs."""
+
+    def give_up(self) -> None:
+        """Drop as much as possible of what the connection holds; the peer gets an error or the close."""
+
+
+class PeerMemory:
+    """Sums up what connections hold, and makes those give it up that hold most."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """Create the sum without connections.
+
+        Args:
+            max_bytes: The limit on the bytes of all connections together.
+        """
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+        """Sum of what connections hold, as last reported."""
+        self.given_up_count = 0
+        """Number of connections that gave up what they held, since the start."""
+        self._held: dict[MemoryHolder, int] = {}
+        self._is_reducing = False
+
+    def update(self, holder: MemoryHolder) -> None:
+        """Take in what a connection holds now; called whenever it has grown, and before it is reused."""
+        held_bytes = holder.held_bytes
+        self.total_bytes += held_bytes - self._held.get(holder, 0)
+        self._held[holder] = held_bytes
+        if self.total_bytes > self.max_bytes and not self._is_reducing:
+            self._reduce()
+
+    def remove(self, holder: MemoryHolder) -> None:
+        """Forget a connection that has ended."""
+        self.total_bytes -= self._held.pop(holder, 0)
+
+    def _reduce(self) -> None:
+        """Make connections give up what they hold, the hungriest first, until the limit holds."""
+        self._is_reducing = True
+        try:
+            for holder in [*self._held]:  # unsent bytes become fewer without a report
+                self.update(holder)
+            for holder in sorted(self._held, key=lambda holder: holder.idle_bytes, reverse=True):
+                if self.total_bytes <= self.max_bytes:
+                    break
+                self.given_up_count += 1
+                holder.give_up()
+                if holder in self._held:
+                    self.update(holder)
+        finally:
+            self._is_reducing = False
--- a/cherrygrade/platform/periodic_tasks.py
+++ b/cherrygrade/platform/periodic_tasks.py
@@ -5,8 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-from cherrygrade.http.reader import BodyBudget
-from cherrygrade.platform.client_connection import ClientConnection
 from cherrygrade.platform.client_registry import ClientRegistry
 from cherrygrade.platform.endpoint_list import EndpointList
 from cherrygrade.platform.round_carrier import RoundCarrier
@@ -28,13 +26,11 @@
         clients: ClientRegistry,
         round_carrier: RoundCarrier,
         endpoint_list: EndpointList,
-        answer_budget: BodyBudget,
         log_counts: Callable[[], None],
     ) -> None:
         self._clients = clients
         self._round_carrier = round_carrier
         self._endpoint_list = endpoint_list
-        self._answer_budget = answer_budget
         self._log_counts = log_counts
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._counts_timer: asyncio.TimerHandle | None = None
@@ -54,7 +50,6 @@
         """Close connections that are silent for too long, and forget nodes that discovery has removed."""
         now = self._round_carrier.rounds.clock()
         is_crowded = len(self._clients.connections) > self._clients.max_connections * 3 // 4
-        self._abort_slowest_readers()
         self._abort_lingering(now)
         self._close_silent_clients(now, is_crowded)
         for pool in [*self._round_carrier.pools.values()]:
@@ -64,18 +59,6 @@
                 self._forget(node)
         self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
 
-    def _abort_slowest_readers(self) -> None:
-        """Abort the clients with the most unsent answer bytes until all such bytes fit their memory limit.
-
-        Beyond its memory limit the process is killed.
-        """
-        clients: list[ClientConnection] = [*self._clients.connections, *self._clients.lingering]
-        unsent = {client: client.unsent_bytes for client in clients if client.unsent_bytes}
-        while sum(unsent.values()) > self._answer_budget.max_bytes:
-            slowest = max(unsent, key=unsent.__getitem__)
-            del unsent[slowest]
-            slowest.abort()
-
     def _abort_lingering(self, now: float) -> None:
         for client in [*self._clients.lingering]:
             limit_ms = MAX_SILENT_MS if client.unsent_bytes else MAX_LINGER_MS
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 import time
 from collections.abc import Callable, Mapping
+from pathlib import Path
 
 from cherrygrade.compiled import scheduler_class
 from cherrygrade.gateway.lifecycle import EXIT_BROKEN, EXIT_FORCED, log_scheduler_crash, serve
@@ -19,6 +21,7 @@
 from cherrygrade.platform.config import ConfigError, PlatformConfig, read_config
 from cherrygrade.platform.discovery import DiscoveryClient
 from cherrygrade.platform.endpoint_list import EndpointList, list_version
+from cherrygrade.platform.peer_memory import BYTES_PER_MB, MemoryLimits, PeerMemory
 from cherrygrade.platform.periodic_tasks import PeriodicTasks
 from cherrygrade.platform.request_parsing import PendingRequest, parse_request
 from cherrygrade.platform.round_carrier import STATUS_ERRORED, STATUS_OK, STATUS_REJECTED, RoundCarrier
@@ -42,9 +45,7 @@
 SOCKETS_PER_LINGERING = 16  # one of this many sockets is for connections that are being closed
 MIN_LINGERING = 4
 RECEIVE_BUFFER_BYTES = 16 * 1024
-BYTES_PER_MB = 1024 * 1024
-ANSWER_MEMORY_DIVISOR = 4  # 1/4 of the memory limit is for nodes' responses and unsent answers
-REQUEST_MEMORY_DIVISOR = 8  # 1/8 of the memory limit is for long request bodies
+IDLE_BYTES = 24 * BYTES_PER_MB  # memory of the idle process where it cannot be measured
 REQUEST_COPIES = 2  # a request body is in memory twice while it is sent to a node
 POOL_IDLE_FRACTION = 0.6  # part of a node's idle time-out after which the pool closes a connection itself
 DEFAULT_NODE_IDLE_S = 15.0
@@ -60,6 +61,7 @@
         log: Callable[..., None],
         make_scheduler: Callable[..., Scheduler],
         env: Mapping[str, str] = os.environ,
+        idle_bytes: int = IDLE_BYTES,
     ) -> None:
         """Create a dispatcher without opening connections; an event loop must be running.
 
@@ -68,6 +70,7 @@
             log: Writes a log event, given by its name and its facts as keywords.
             make_scheduler: The scheduler's class, compiled or interpreted.
             env: Environment variables with the path of the configuration file, for `reload`.
+            idle_bytes: Memory of the process before any peer has connected.
         """
         self.config = config
         self.log = log
@@ -89,30 +92,31 @@
         """Completed with the exit code at the end of the shutdown."""
         self._deadline_limit_ms = float("inf")
         self._startup_timers: list[asyncio.TimerHandle] = []
-        self._divide_limits()
+        self._divide_limits(idle_bytes)
         self.nodes = NodeTable()
         self.endpoint_list = EndpointList(self.nodes, _unix_to_loop_ms())
         self.round_carrier = self._make_round_carrier(make_scheduler)
         self.rounds = self.round_carrier.rounds
         self.discovery = self._make_discovery_client()
         self.periodic_tasks = PeriodicTasks(
-            self.client_registry, self.round_carrier, self.endpoint_list, self.answer_budget, self._log_counts
+            self.client_registry, self.round_carrier, self.endpoint_list, self._log_counts
         )
         self._listener = ClientListener()
         longest_deadline_ms = max(workload.deadline_ms for workload in self.workloads.values())
         self._schedule = ShutdownSchedule.for_deadline(longest_deadline_ms)
         self.shutdown = self._make_shutdown()
 
-    def _divide_limits(self) -> None:
+    def _divide_limits(self, idle_bytes: int) -> None:
         """Divide sockets and memory between clients and nodes; lingering connections count as clients'."""
-        memory_bytes = self.config.memory_mb * BYTES_PER_MB
-        self.answer_budget = BodyBudget(memory_bytes // ANSWER_MEMORY_DIVISOR)
-        self.request_budget = BodyBudget(memory_bytes // REQUEST_MEMORY_DIVISOR, copies=REQUEST_COPIES)
+        self.memory_limits = MemoryLimits.for_process(self.config.memory_mb * BYTES_PER_MB, idle_bytes)
+        self.peer_memory = PeerMemory(self.memory_limits.connections_bytes)
+        self.answer_budget = BodyBudget(self.memory_limits.long_bodies_bytes)
+        self.request_budget = BodyBudget(self.memory_limits.long_bodies_bytes, copies=REQUEST_COPIES)
         available = self.config.sockets - RESERVED_SOCKETS
         for_clients = available // 2
         max_lingering = max(MIN_LINGERING, available // SOCKETS_PER_LINGERING)
         self.client_registry = ClientRegistry(for_clients - max_lingering, max_lingering)
-        self.socket_budget = SocketBudget(available - for_clients, self.answer_budget)
+        self.socket_budget = SocketBudget(available - for_clients, self.answer_budget, self.peer_memory)
 
     def _make_round_carrier(self, make_scheduler: Callable[..., Scheduler]) -> RoundCarrier:
         settings = self.config.settings
@@ -257,6 +261,8 @@
             nodes=len(self.endpoint_list.addresses),
             version=self.endpoint_list.version,
             connects=sum(pool.connect_count for pool in self.round_carrier.pools.values()),
+            peer_memory_kib=self.peer_memory.total_bytes // 1024,
+            gave_up=self.peer_memory.given_up_count,
         )
         in_doubt = self.round_carrier.take_in_doubt_counts()
         if in_doubt:
@@ -333,6 +339,15 @@
     return lambda unix_ms: unix_ms + loop_minus_unix_ms
 
 
+def resident_bytes() -> int:
+    """Return the memory that the process has resident; 0 where the system does not tell."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * resource.getpagesize()
+
+
 def main() -> int:
     """Run the dispatcher that environment and configuration file describe.
 
@@ -349,7 +364,8 @@
     log("module", compiled=compiled)
 
     async def _run() -> int:
-        return await serve(PlatformDispatcher(config, log, make_scheduler))
+        idle_bytes = resident_bytes() or IDLE_BYTES
+        return await serve(PlatformDispatcher(config, log, make_scheduler, idle_bytes=idle_bytes))
 
     try:
         return asyncio.run(_run())
--- a/cherrygrade/platform/read_ahead.py
+++ b/cherrygrade/platform/read_ahead.py
@@ -1,6 +1,7 @@
-"""Bytes that a client has sent ahead of the request that is served; free of I/O and clock.
+"""Bytes that a client has sent and that are not parsed yet; free of I/O and clock.
 
-They stay unparsed until it is their turn, as parsed messages take several times the memory.
+What a client sends ahead of the request that is served stays unparsed until it is its turn, as parsed
+messages take several times the memory.
 """
 
 from __future__ import annotations
@@ -10,16 +11,16 @@
 
 MAX_CHUNK_MS = 20.0
 """Bytes that arrive within this time count as received with the first of them."""
+MAX_PIECE_BYTES = 16 * 1024
+"""Bytes that are taken out of the queue at once."""
 
 
 @dataclass(slots=True)
-class Chunk:
+class _Chunk:
     """Bytes that arrived at about the same time."""
 
     received_ms: float
-    """When the first of the bytes arrived. The deadline of a request counts from the arrival of its last
-    byte, not from the answer to the request before it."""
-    data: bytearray | bytes
+    data: bytearray
 
 
 class ReadAhead:
@@ -28,29 +29,36 @@
     def __init__(self) -> None:
         self.size = 0
         """Number of bytes in the queue."""
-        self._chunks: deque[Chunk] = deque()
+        self._chunks: deque[_Chunk] = deque()
 
-    def append(self, data: bytes, now: float) -> None:
-        """Add bytes that arrived at `now`, in ms, behind the others."""
+    @property
+    def received_ms(self) -> float:
+        """When the first bytes arrived; the queue must not be empty.
+
+        The deadline of a request counts from the arrival of its last byte, not from the answer to the request
+        before it.
+        """
+        return self._chunks[0].received_ms
+
+    def append(self, data: memoryview, now: float) -> None:
+        """Add a copy of bytes that arrived at `now`, in ms."""
         self.size += len(data)
-        last = self._chunks[-1] if self._chunks else None
-        if last is None or now - last.received_ms >= MAX_CHUNK_MS:
-            self._chunks.append(Chunk(now, bytearray(data)))
-        elif isinstance(last.data, bytearray):
-            last.data += data
+        if self._chunks and now - self._chunks[-1].received_ms < MAX_CHUNK_MS:
+            self._chunks[-1].data += data
         else:
-            last.data = bytearray(last.data) + data
-
-    def put_back(self, chunk: Chunk) -> None:
-        """Add bytes that were taken before all others."""
-        self.size += len(chunk.data)
-        self._chunks.appendleft(chunk)
-
-    def take(self) -> Chunk:
-        """Remove and return the first bytes; the queue must not be empty."""
-        chunk = self._chunks.popleft()
-        self.size -= len(chunk.data)
-        return chunk
+            self._chunks.append(_Chunk(now, bytearray(data)))
+
+    def piece(self) -> bytes:
+        """Return the first bytes, at most MAX_PIECE_BYTES; all of them arrived at `received_ms`."""
+        return bytes(self._chunks[0].data[:MAX_PIECE_BYTES])
+
+    def consume(self, size: int) -> None:
+        """Remove bytes of the last `piece`."""
+        self.size -= size
+        first = self._chunks[0].data
+        del first[:size]
+        if not first:
+            self._chunks.popleft()
 
     def start(self, max_bytes: int) -> bytes:
         """Return the first bytes, at most `max_bytes`, without removing them."""
--- a/tests/gateway/test_body_end.py
+++ b/tests/gateway/test_body_end.py
@@ -79,7 +79,7 @@
     run(case)
 
 
-# Guards against the same failure where the rest arrives in a later read: the write may run, but is not answered.
+# Guards against the same failure where the rest arrives in a later read: the write is not answered as run.
 def test_write_whose_rest_arrives_before_its_answer_is_not_answered_as_run():
     async def case(site: GatewaySite) -> None:
         await site.node(build=Build(unit_ms=200.0, put_off=0.0))
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -21,6 +21,7 @@
 from cherrygrade.http.reader import MessageReader
 from cherrygrade.http.writer import encode_response
 from cherrygrade.platform import client_connection, connection_pool, node_connection, periodic_tasks, shutdown
+from cherrygrade.platform.process import RECEIVE_BUFFER_BYTES
 from cherrygrade.scheduling.model import NodeState, Outcome
 from cherrygrade.standin import web
 
@@ -199,7 +200,7 @@
 
 @pytest.mark.parametrize("close", [socket.socket.close, reset])
 def test_pipelined_requests_of_a_closed_client_are_not_sent(tmp_path, close):
-    # Beyond MAX_READ_AHEAD_BYTES reading is paused, and a paused reader does not notice the client's close.
+    # The close lies behind bytes that are read ahead, and must be noticed before any of them is served.
     async def case(site: PlatformSite) -> None:
         node = await site.add_node(work_ms=10.0)
         dispatcher = await site.start()
@@ -207,7 +208,7 @@
         client = connect_and_send(site, b"".join(client_request(X_Budget_Ms="2000") for _ in range(300)))
         await site.wait_until(lambda: node.received)
         connection = next(iter(dispatcher.client_registry.connections))
-        await site.wait_until(lambda: not connection._transport.is_reading())
+        await site.wait_until(lambda: connection._read_ahead.size > RECEIVE_BUFFER_BYTES)
         close(client)
         assert len(node.received) == 1
         node._answer(node.peers[0], node.received[0])
@@ -432,8 +433,8 @@
         await site.wait_until(lambda: connection.unsent_bytes)
         connection.close_gracefully()
         assert connection in dispatcher.client_registry.lingering and connection.unsent_bytes
-        dispatcher.answer_budget.max_bytes = 1000
-        dispatcher.periodic_tasks.sweep()
+        dispatcher.peer_memory.max_bytes = 1000
+        dispatcher.peer_memory.update(connection)
         await asyncio.sleep(0.01)
         assert not dispatcher.client_registry.lingering
         client.close()
@@ -497,7 +498,7 @@
     run_case(tmp_path, case)
 
 
-def test_shutdown_answers_a_pipelining_client_whose_reading_is_paused(tmp_path):
+def test_shutdown_answers_a_pipelining_client_whose_requests_are_read_ahead(tmp_path):
     async def case(site: PlatformSite) -> None:
         node = await site.add_node()
         node.script.append(None)
@@ -505,7 +506,7 @@
         client = connect_and_send(site, b"".join(client_request(X_Budget_Ms="2000") for _ in range(300)))
         await site.wait_until(lambda: node.received)
         connection = next(iter(dispatcher.client_registry.connections))
-        await site.wait_until(lambda: not connection._transport.is_reading())
+        await site.wait_until(lambda: connection._read_ahead.size > RECEIVE_BUFFER_BYTES)
         dispatcher.leave()
         dispatcher.leave()
         data, orderly = await read_to_end(client)
--- a/tests/platform/test_message_memory.py
+++ b/tests/platform/test_message_memory.py
@@ -136,7 +136,7 @@
     async def case(site: PlatformSite) -> None:
         node = await site.add_node()
         dispatcher = await site.start()
-        dispatcher.answer_budget.max_bytes = 4_000_000
+        dispatcher.peer_memory.max_bytes = 4_000_000
         large, clients = bytes(900_000), [await site.connect_client() for _ in range(12)]
         await site.wait_until(lambda: len(dispatcher.client_registry.connections) == 12)
         # With small send buffers most bytes of the answers stay in the dispatcher.
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -23,8 +23,15 @@
 class PlatformProcess:
     """A dispatcher process; its node and its discovery service run in the test's process."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, sockets: int = SOCKETS, memory_mb: int = 64) -> None:
+        """Prepare a process.
+
+        Args:
+            folder: Folder for the configuration file and the log.
+            sockets: Limit on file descriptors.
+            memory_mb: Limit on memory that the configuration names, MiB; nothing enforces it.
+        """
+        self.folder, self.sockets, self.memory_mb = folder, sockets, memory_mb
         self.discovery, self.node = WebDiscovery(keepalive_interval_s=0.5), WebNode("s-0", 0)
         self.clients: list[RawClient] = []
 
@@ -37,7 +44,8 @@
         self.port = int(self.address.rpartition(":")[2])
         config_path = self.folder / "config.json"
         config = {"name": "n0", "listen": self.address, "discovery": self.discovery.address}
-        config |= {"seed": "1", "limits": {"sockets": SOCKETS, "memory_mb": 64}, "settings": SETTINGS}
+        config |= {"seed": "1", "limits": {"sockets": self.sockets, "memory_mb": self.memory_mb}}
+        config |= {"settings": SETTINGS}
         config_path.write_text(json.dumps(config))
         self.log = (self.folder / "log").open("w+b")
         self.process = await asyncio.create_subprocess_exec(
@@ -46,7 +54,7 @@
             env={"BALANCER_CONFIG": str(config_path), "PATH": "", "PYTHONPATH": str(ROOT)},
             cwd=ROOT,
             stderr=self.log,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)),
         )
         self.process_info = psutil.Process(self.process.pid)
         await self.wait_until(self.ready)
@@ -73,13 +81,21 @@
         self.clients.append(client)
         return client
 
-    async def status_on_new_connection(self, target: str = "/api/00000000000000aa/00000000000000bb") -> int:
+    async def status_on_new_connection(
+        self, target: str = "/api/00000000000000aa/00000000000000bb", **fields: str
+    ) -> int:
         """Return the status that a new client gets; 0 if its connection ends without an answer."""
         client = await self.connect_client()
-        answer = await client.exchange(client_request(target))
+        answer = await client.exchange(client_request(target, **fields))
         client.writer.close()
         return answer.status if answer is not None else 0
 
+    @property
+    def peak_mib(self) -> float:
+        """The most memory that the process has had resident, MiB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0]) / 1024.0
+
     def read_log(self) -> str:
         """Return everything that the process has logged."""
         self.log.seek(0)
