State by the names that clients choose is bounded, and a reader drops the heads of messages that were taken

Cause: Scheduler.volumes dropped idle volumes only with a changed endpoint list, after 60 s; ClientRetries remembers volume and key of each early rejection for two generations; the times of arrivals for the retry budget have no bound. Change: VolumeTable drops the volume that is idle for longest beyond a limit, never one with an open request; a new volume's limit is empty, so that rule 7 holds. Early rejections and counted arrivals are bounded. The platform's dispatcher sets the limits from its memory (Scheduler.limit_tables). The reader drops a head with its message. Test processes write their output into a file and are killed when a test fails; they held the output of pytest open.

--- a/cherrygrade/http/single_message_reader.py
+++ b/cherrygrade/http/single_message_reader.py
@@ -33,10 +33,17 @@
             size = self._next_size(data[position:] if position else data)
             super().feed(data[position : position + size])
             position += size
-            if not (self._in_head or self._keeps_head) or (self._message is None and not self.messages):
-                self._head = b""  # line ends before a message, or an interim response, have ended
+            if self._is_head_over():
+                self._head = b""
         return position
 
+    def _is_head_over(self) -> bool:
+        """Whether the head that was kept is not needed any more."""
+        if self._message is not None:
+            return not (self._in_head or self._keeps_head)
+        # Line ends before a message, an interim response or a message have ended.
+        return not (self.messages and self._keeps_head)
+
     @property
     def memory_bytes(self) -> int:
         """Memory of the message that is being read, of its head, and of the complete message."""
--- a/cherrygrade/platform/peer_memory.py
+++ b/cherrygrade/platform/peer_memory.py
@@ -22,7 +22,9 @@
 TABLES_DIVISOR = 8
 """1/8 of the limit is for tables whose keys peers choose."""
 TABLES = 4
-"""Number of such tables: volumes, two generations of early rejections, call ids."""
+"""Such tables: volumes, two generations of early rejections, and one part for call ids."""
+CALL_ID_BYTES = 200
+"""Memory of a remembered call id."""
 TABLE_ENTRY_BYTES = 400
 """Memory of an entry of such a table, with its key."""
 MIN_TABLE_ENTRIES = 256
@@ -41,7 +43,9 @@
     long_bodies_bytes: int
     """Bytes that may be promised to long bodies, for requests and for responses each."""
     table_entries: int
-    """Entries of each table whose keys peers choose."""
+    """Entries of each table whose keys peers choose, except that of call ids."""
+    call_ids: int
+    """Number of call ids that are remembered."""
     discovery_message_bytes: int
     """Bytes of the longest message of discovery."""
 
@@ -59,6 +63,7 @@
             connections_bytes=total - tables_bytes,
             long_bodies_bytes=total // LONG_BODIES_DIVISOR,
             table_entries=max(MIN_TABLE_ENTRIES, tables_bytes // (TABLES * TABLE_ENTRY_BYTES)),
+            call_ids=max(MIN_TABLE_ENTRIES, tables_bytes // (TABLES * CALL_ID_BYTES)),
             discovery_message_bytes=total // DISCOVERY_DIVISOR,
         )
 
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -120,8 +120,10 @@
 
     def _make_round_carrier(self, make_scheduler: Callable[..., Scheduler]) -> RoundCarrier:
         settings = self.config.settings
+        scheduler = settings.create_scheduler(make_scheduler, self.config.seed)
+        scheduler.limit_tables(self.memory_limits.table_entries)
         return RoundCarrier(
-            settings.create_scheduler(make_scheduler, self.config.seed),
+            scheduler,
             self.endpoint_list,
             self.socket_budget,
             self.receive_buffer,
--- a/cherrygrade/scheduling/client_retries.py
+++ b/cherrygrade/scheduling/client_retries.py
@@ -16,6 +16,10 @@
 """How long early rejections are remembered while no request has shown how long its clients wait."""
 
 
+MAX_REMEMBERED = 65_536
+"""Limit on remembered early rejections where the host sets none."""
+
+
 class ClientRetries:
     """Computes when the latency objective of an arriving request ends.
 
@@ -27,6 +31,7 @@
         recently_rejected: end of the latency objective (ms) by volume and key, of requests that were rejected
             early in the present generation.
         earlier_rejected: the same of the generation before.
+        max_remembered: limit on the entries of a generation; the oldest are dropped beyond it.
         next_generation_ms: when the next generation begins, ms. A generation lasts as long as the longest
             `max_timeout_ms`.
         previous_round_ms: time of the round before this one, ms.
@@ -38,6 +43,7 @@
         self.max_timeout_ms: dict[str, float] = {}
         self.recently_rejected: dict[tuple[str, str], float] = {}
         self.earlier_rejected: dict[tuple[str, str], float] = {}
+        self.max_remembered = MAX_REMEMBERED
         self.next_generation_ms = 0.0
         self.previous_round_ms = 0.0
         self.round_ms = 0.0
@@ -56,6 +62,8 @@
         """Remember a request that is rejected early; the next of its volume and key may be its retry."""
         request = queued.request
         self.recently_rejected[request.volume, request.key] = queued.objective_at_ms
+        if len(self.recently_rejected) > self.max_remembered:
+            del self.recently_rejected[next(iter(self.recently_rejected))]
 
     def objective_at_ms(self, request: Request, workload: Workload, now: float) -> float:
         """Return when the latency objective of a request that arrives now ends, ms.
--- a/cherrygrade/scheduling/quota.py
+++ b/cherrygrade/scheduling/quota.py
@@ -32,6 +32,7 @@
         reserve_capacity: capacity of the reserve's bucket, units.
         usual_tokens: units available within the usual rate; never below 0.
         usual_capacity: capacity of the usual rate's bucket, units.
+        open_requests: number of requests of the volume that are not finished.
         limit_tokens: units available within the limit. The bucket starts empty, since an earlier process on
             this seat may have spent it just before.
     """
@@ -45,6 +46,7 @@
         self.reserve_tokens = self.reserve_capacity
         self.usual_capacity = plan.usual_rate * USUAL_RATE_FRACTION
         self.usual_tokens = self.usual_capacity
+        self.open_requests = 0
         self.limit_tokens = 0.0
 
     def refill(self, now: float) -> None:
--- a/cherrygrade/scheduling/retries.py
+++ b/cherrygrade/scheduling/retries.py
@@ -88,6 +88,10 @@
     return outcome is not Outcome.TIMED_OUT
 
 
+MAX_COUNTED_ARRIVALS = 16_384
+"""Arrivals in the window beyond these raise the budget no further, so that their times take little memory."""
+
+
 class RetryBudget:
     """Limits the retries of this dispatcher, relative to the requests that arrive (rule 6).
 
@@ -118,7 +122,7 @@
 
     def record_arrival(self, now: float) -> None:
         """Count a request that arrived, which raises the budget by `retry_ratio` retries."""
-        if self.settings is not None:
+        if self.settings is not None and len(self.arrivals_ms) < MAX_COUNTED_ARRIVALS:
             self.arrivals_ms.append(now)
 
     def record_attempt(self, request: Request, now: float) -> None:
--- a/cherrygrade/scheduling/scheduler.py
+++ b/cherrygrade/scheduling/scheduler.py
@@ -41,11 +41,9 @@
 from cherrygrade.scheduling.quota import VolumeQuota
 from cherrygrade.scheduling.seeded_random import Counter
 from cherrygrade.scheduling.utility import UtilityRules
+from cherrygrade.scheduling.volume_table import VolumeTable
 from cherrygrade.scheduling.wake_ups import WakeUps
 
-FORGET_VOLUME_MS = 60_000.0
-"""A volume's token buckets are dropped once the volume has been idle for this long."""
-
 
 class Scheduler:
     """Takes all scheduling decisions of one dispatcher.
@@ -55,7 +53,7 @@
         peers: the dispatchers that quotas are divided among.
         admission: the rules that every attempt has to satisfy.
         utility: ranks requests by what they earn.
-        volumes: token buckets by volume; dropped once the volume is idle.
+        volume_table: token buckets by volume.
         requests: requests from their arrival until they are finished and have no attempt in flight.
         shared_latency: latency estimates over all nodes.
         unplaced: queue of the requests that no listed node can take.
@@ -101,7 +99,7 @@
         self.peers = peers or PeerDirectory(dispatchers)
         self.admission = Admission(self.settings, number, self.peers, slow_start, retry_budget, key_rest_ms)
         self.utility = UtilityRules(self.settings)
-        self.volumes: dict[str, VolumeQuota] = {}
+        self.volume_table = VolumeTable(self.settings)
         self.requests: dict[Request, QueuedRequest] = {}
         self.shared_latency = SharedLatency(self.settings.tightest_objective_ms)
         no_node = Node("", state=NodeState.DRAINING)
@@ -121,9 +119,18 @@
         """Node queues by node."""
         return self.placement.queues
 
+    @property
+    def volumes(self) -> dict[str, VolumeQuota]:
+        """Token buckets by volume."""
+        return self.volume_table.volumes
+
+    def limit_tables(self, max_entries: int) -> None:
+        """Limit the entries of each table whose keys clients choose, volumes and keys."""
+        self.volume_table.max_volumes = max_entries
+        self.client_retries.max_remembered = max_entries
+
     def _new_queue(self, node: Node, now: float, sends: list[tuple[float, float]]) -> NodeQueue:
-        objective_ms = self.settings.tightest_objective_ms
-        return NodeQueue(node, now, objective_ms, self.shared_latency, sends)
+        return NodeQueue(node, now, self.settings.tightest_objective_ms, self.shared_latency, sends)
 
     # Rounds.
 
@@ -216,10 +223,7 @@
 
     def _forget_idle(self, now: float) -> None:
         """Drop idle volumes and unused queues of nodes that are gone, and index the remaining ones."""
-        volumes = self.volumes
-        self.volumes = {
-            name: volume for name, volume in volumes.items() if now - volume.refilled_ms < FORGET_VOLUME_MS
-        }
+        self.volume_table.forget_idle(now)
         queues = self.placement.queues
         for queue in [*queues.values()]:
             if queue.node.state is NodeState.GONE and not (queue.attempts or queue.has_waiting):
@@ -234,11 +238,7 @@
         if workload is None or plan is None:
             sink.reject(request, 0.0)
             return
-        volume = self.volumes.get(request.volume)
-        if volume is None:
-            volume = VolumeQuota(plan, request.dispatchers, now, self.settings.utility)
-            self.volumes[request.volume] = volume
-        volume.refill(now)
+        volume = self.volume_table.add_request(request, plan, now)
         objective_at_ms = self.client_retries.objective_at_ms(request, workload, now)
         queued = QueuedRequest(request, workload, volume, now, objective_at_ms)
         self.requests[request] = queued
@@ -291,7 +291,8 @@
         following = self.admission.order.remove(queued)
         if following is not None and following.node is not None:
             self._touch(self.placement.queues.get(following.node, self.unplaced), now)
-        self.requests.pop(queued.request, None)
+        if self.requests.pop(queued.request, None) is not None:
+            queued.volume.open_requests -= 1
 
     def _review_waiting(self, queue: NodeQueue, now: float, sink: DecisionSink) -> None:
         """Reject waiting requests that can earn too little, and move those that wait at a lost node."""
--- a/tests/http/test_response_reader.py
+++ b/tests/http/test_response_reader.py
@@ -6,6 +6,7 @@
 
 from cherrygrade.http.reader import MAX_BODY_BYTES, MAX_HEAD_BYTES, BodyBudget, Framing
 from cherrygrade.http.response_reader import ResponseReader, Trailing
+from cherrygrade.http.single_message_reader import SingleMessageReader
 from cherrygrade.http.writer import encode_response
 
 ONE = encode_response(200, b"one", b"X-A: b\r\n")
@@ -93,3 +94,15 @@
         reader.feed(data)
     assert reader.response is None
     assert len(reader._head) <= MAX_HEAD_BYTES + len(data)
+
+
+# Guards against heads of earlier requests that stay in memory until the connection ends.
+def test_reader_of_requests_holds_nothing_after_a_message_was_taken():
+    reader = SingleMessageReader(responses=False)
+    request = b"PUT /a HTTP/1.1\r\nContent-Length: 4\r\nX-Call-Id: 1\r\n\r\nbody"
+    empty_bytes = reader.memory_bytes
+    for _ in range(3):
+        assert reader.feed_message(request + request) == len(request)
+        assert reader.memory_bytes > len(b"body")
+        assert reader.messages.pop().body == b"body"
+        assert reader.memory_bytes == empty_bytes
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from support.platform_process import PlatformProcess
+from support.platform_process import PlatformProcess, run_process
 from support.platform_site import client_request
 
 from cherrygrade.http.writer import encode_response
@@ -107,9 +107,7 @@
     ],
 )
 def test_memory_stays_within_the_limit_and_usual_clients_are_served(tmp_path, memory_mb: int, attack: Attack):
-    async def case() -> None:
-        process = PlatformProcess(tmp_path, SOCKETS, memory_mb)
-        await process.start()
+    async def case(process: PlatformProcess) -> None:
         statuses: list[int] = []
         clients = await connect_many(process)
         usual = asyncio.create_task(use_as_usual(process, statuses))
@@ -124,4 +122,4 @@
         assert set(statuses) == {200}
         assert await process.stop() == 0, process.read_log()
 
-    asyncio.run(asyncio.wait_for(case(), 60.0))
+    asyncio.run(run_process(tmp_path, SOCKETS, memory_mb, case))
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -34,6 +34,7 @@
         self.folder, self.sockets, self.memory_mb = folder, sockets, memory_mb
         self.discovery, self.node = WebDiscovery(keepalive_interval_s=0.5), WebNode("s-0", 0)
         self.clients: list[RawClient] = []
+        self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
@@ -53,6 +54,7 @@
             *("-m", "cherrygrade", "platform"),
             env={"BALANCER_CONFIG": str(config_path), "PATH": "", "PYTHONPATH": str(ROOT)},
             cwd=ROOT,
+            stdout=self.log,
             stderr=self.log,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)),
         )
@@ -90,6 +92,11 @@
         client.writer.close()
         return answer.status if answer is not None else 0
 
+    def kill(self) -> None:
+        """Kill the process if it runs, as at the end of a test that has failed."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
     @property
     def peak_mib(self) -> float:
         """The most memory that the process has had resident, MiB."""
@@ -111,3 +118,15 @@
         self.discovery.close()
         self.node.close()
         return code
+
+
+async def run_process(
+    folder: Path, sockets: int, memory_mb: int, case: Callable[[PlatformProcess], Awaitable[None]]
+) -> None:
+    """Start a process, run a test case with it, and kill the process if the case has not stopped it."""
+    process = PlatformProcess(folder, sockets, memory_mb)
+    try:
+        await asyncio.wait_for(process.start(), 30.0)
+        await asyncio.wait_for(case(process), 60.0)
+    finally:
+        process.kill()
