--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -15,6 +15,7 @@
 from cherrygrade.gateway.lifecycle import EXIT_BROKEN, EXIT_FORCED, log_scheduler_crash, serve
 from cherrygrade.http.reader import BodyBudget, HttpError, Message
 from cherrygrade.logs import plain_log
+from cherrygrade.platform.call_ids import SentCallIds
 from cherrygrade.platform.client_connection import ClientConnection
 from cherrygrade.platform.client_listener import ClientListener
 from cherrygrade.platform.client_registry import ClientRegistry
@@ -122,11 +123,13 @@
         settings = self.config.settings
         scheduler = settings.create_scheduler(make_scheduler, self.config.seed)
         scheduler.limit_tables(self.memory_limits.table_entries)
+        self.sent_ids = SentCallIds(self.memory_limits.call_ids)
         return RoundCarrier(
             scheduler,
             self.endpoint_list,
             self.socket_budget,
             self.receive_buffer,
+            self.sent_ids,
             settings.ms("limits.connectTimeoutS", DEFAULT_CONNECT_TIMEOUT_S),
             POOL_IDLE_FRACTION * settings.ms("limits.connIdleS", DEFAULT_NODE_IDLE_S),
             self._scheduler_failed,
@@ -323,8 +326,8 @@
         if self.shutdown.phase is ShutdownPhase.FLUSHING:
             raise HttpError(503, "this dispatcher has ended")
         pending = parse_request(message, self.workloads, self.plans, message.received_ms, ANSWER_MARGIN_MS)
-        if pending.call_id in self.round_carrier.open_requests:
-            raise HttpError(409, "X-Call-Id: open already")
+        if pending.call_id in self.round_carrier.open_requests or pending.call_id in self.sent_ids:
+            raise HttpError(409, "X-Call-Id: open or sent already")
         pending.deadline_ms = min(pending.deadline_ms, self._deadline_limit_ms - ANSWER_MARGIN_MS)
         pending.client = client
         self.round_carrier.submit(pending)
--- a/cherrygrade/platform/round_carrier.py
+++ b/cherrygrade/platform/round_carrier.py
@@ -9,6 +9,7 @@
 from cherrygrade.gateway.rounds import Rounds
 from cherrygrade.gateway.timer_wheel import TimerWheel
 from cherrygrade.inflight import InflightAttempt, InflightRequest
+from cherrygrade.platform.call_ids import SentCallIds
 from cherrygrade.platform.connection_pool import ConnectionPool, PoolResources
 from cherrygrade.platform.endpoint_list import EndpointList
 from cherrygrade.platform.message_end import MAX_RESPONSE_WAIT_MS
@@ -44,6 +45,7 @@
         endpoint_list: EndpointList,
         socket_budget: SocketBudget,
         receive_buffer: memoryview,
+        sent_ids: SentCallIds,
         connect_timeout_ms: float,
         idle_timeout_ms: float,
         crashed: Callable[[Exception, str], None],
@@ -57,6 +59,7 @@
             endpoint_list: Addresses of the nodes.
             socket_budget: Limits the connections to all nodes together.
             receive_buffer: A buffer that all connections share.
+            sent_ids: Remembers the ids of requests that are sent.
             connect_timeout_ms: Time-out of a connect to a node.
             idle_timeout_ms: Time after which an idle connection to a node is closed.
             crashed: Called with the exception and the kind of round when the scheduler raises.
@@ -68,6 +71,7 @@
         self.pools: dict[Node, ConnectionPool] = {}
         """Connection pools of the nodes to which an attempt was sent."""
         self.counts = AnswerCounts()
+        self._sent_ids = sent_ids
         self.rounds = Rounds(scheduler, self, crashed, lambda text: log("module", text=text))
         self._answered = answered
         self._log = log
@@ -170,7 +174,9 @@
 
     def send_attempt(self, attempt: InflightAttempt, limit_ms: float) -> None:
         """Send an attempt to its node; it times out after `limit_ms` or at the deadline of its request."""
-        node = attempt.node
+        node, request = attempt.node, attempt.request
+        assert isinstance(request, PendingRequest)
+        self._sent_ids.add(request.call_id)
         pool = self.pools.get(node)
         if pool is None:
             pool = self.pools[node] = ConnectionPool(node, self._pool_resources)
