A read that is followed by a body is refused, and so is an X-Extent that comes twice

Here: a read without a length, with bytes behind it that are no request, was sent and answered 200; the error came after the answer, behind it. So was a read with two X-Extent fields, of which the last one was used. Cause: message_end.is_request_whole held a read without a length for certain, as it "has no body that could be cut short". Change: request_end makes no exception of reads; repeated values of X-Extent are refused.

--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -207,7 +207,7 @@
     def _judge_request(self, following: bytes) -> bool:
         """Refuse the open request if the bytes behind it leave its end in doubt; return whether it stays."""
         if self._message_end is MessageEnd.OPEN and self._message is not None:
-            self._message_end = request_end(self._message, following)
+            self._message_end = request_end(self._message.framing, following)
             if self._message_end is MessageEnd.IN_DOUBT:
                 self._refuse_open_request()
         return not self.is_closing
--- a/cherrygrade/platform/message_end.py
+++ b/cherrygrade/platform/message_end.py
@@ -26,17 +26,17 @@
 by then. Nothing of the node is held meanwhile but the connection, which rests anyway.
 
 A client may send its next request at once, so only bytes that cannot begin a request leave the end of a
-request in doubt. It is refused then, as DAYS, "Bad clients", asks for requests with wrong lengths. A request
-is sent to a node without a wait, since a client's blocks may be any time apart. It is judged again whenever
-more has arrived, before each attempt and before its answer, and it is not answered as served before
-MAX_REQUEST_WAIT_MS have passed.
+request in doubt. It is refused then, as DAYS, "Bad clients", asks for requests with wrong lengths. So is a
+read without a length: a read has no body, and what follows it is one. A request is sent to a node without a
+wait, since a client's blocks may be any time apart. It is judged again whenever more has arrived, before each
+attempt and before its answer, and it is not answered as served before MAX_REQUEST_WAIT_MS have passed.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
-from cherrygrade.http.reader import Framing, Message
+from cherrygrade.http.reader import Framing
 from cherrygrade.http.request_start import RequestStart, request_start
 from cherrygrade.http.response_reader import Trailing
 
@@ -86,15 +86,13 @@
     return MessageEnd.CERTAIN if trailing is Trailing.NOTHING else MessageEnd.IN_DOUBT
 
 
-def request_end(request: Message, following: bytes) -> MessageEnd:
+def request_end(framing: Framing, following: bytes) -> MessageEnd:
     """Return whether a client's complete request ends where its framing says.
 
     Args:
-        request: The request.
+        framing: What marked the end of the request.
         following: The first bytes that have arrived behind it.
     """
-    # A read without a length has no body that could be cut short; a write may have a body all the same.
-    has_no_body = request.framing is Framing.NO_BODY and request.method == b"GET"
-    if has_no_body or request.framing is Framing.CHUNKED:
+    if framing is Framing.CHUNKED:
         return MessageEnd.CERTAIN
     return REQUEST_END_BY_START[request_start(following)]
--- a/cherrygrade/platform/request_parsing.py
+++ b/cherrygrade/platform/request_parsing.py
@@ -161,6 +161,8 @@
 def _extent(message: Message) -> _Extent:
     items = message.fields.get(b"x-extent", b"").split(b",")
     values = dict(item.strip().partition(b"=")[::2] for item in items)
+    if len(values) < len(items):  # the field came twice: a proxy might take the other one
+        raise HttpError(400, "X-Extent: each value once wanted")
     units = values.get(b"units", b"")
     shard = values.get(b"shard", b"")
     dispatchers = values.get(b"hosts", b"")
