A process goes on when nobody reads its log

Cause: plain_log printed to standard error and let the BrokenPipeError pass, in whatever callback logged. A reader that is there and stuck held up the whole event loop once the pipe was full.

--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -6,7 +6,6 @@
 import os
 import resource
 import signal
-import sys
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -14,7 +13,7 @@
 from cherrygrade.compiled import scheduler_class
 from cherrygrade.gateway.lifecycle import EXIT_BROKEN, EXIT_FORCED, log_scheduler_crash, serve
 from cherrygrade.http.reader import BodyBudget, HttpError, Message
-from cherrygrade.logs import plain_log
+from cherrygrade.logs import plain_log, write_line
 from cherrygrade.platform.call_ids import SentCallIds
 from cherrygrade.platform.client_connection import ClientConnection
 from cherrygrade.platform.client_listener import ClientListener
@@ -362,7 +361,7 @@
     try:
         config = read_config(os.environ)
     except ConfigError as error:
-        print(error, file=sys.stderr)
+        write_line(str(error))
         return 2
     log = plain_log(dispatcher=config.name)
     make_scheduler, compiled = scheduler_class()
@@ -375,5 +374,5 @@
     try:
         return asyncio.run(_run())
     except OSError as error:
-        print(f"listen: {config.listen}: {error}", file=sys.stderr)
+        write_line(f"listen: {config.listen}: {error}")
         return 2
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -36,8 +36,8 @@
         self.clients: list[RawClient] = []
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Start the process and wait until it is ready."""
+    async def start(self, output: int | None = None) -> None:
+        """Start the process and wait until it is ready; `output` is a descriptor in place of the log."""
         await self.discovery.open()
         await self.node.open()
         self.discovery.publish(self.node.entry())
@@ -54,8 +54,8 @@
             *("-m", "cherrygrade", "platform"),
             env={"BALANCER_CONFIG": str(config_path), "PATH": "", "PYTHONPATH": str(ROOT)},
             cwd=ROOT,
-            stdout=self.log,
-            stderr=self.log,
+            stdout=self.log if output is None else output,
+            stderr=self.log if output is None else output,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets)),
         )
         self.process_info = psutil.Process(self.process.pid)
@@ -121,12 +121,16 @@
 
 
 async def run_process(
-    folder: Path, sockets: int, memory_mb: int, case: Callable[[PlatformProcess], Awaitable[None]]
+    folder: Path,
+    sockets: int,
+    memory_mb: int,
+    case: Callable[[PlatformProcess], Awaitable[None]],
+    output: int | None = None,
 ) -> None:
     """Start a process, run a test case with it, and kill the process if the case has not stopped it."""
     process = PlatformProcess(folder, sockets, memory_mb)
     try:
-        await asyncio.wait_for(process.start(), 30.0)
+        await asyncio.wait_for(process.start(output), 30.0)
         await asyncio.wait_for(case(process), 60.0)
     finally:
         process.kill()
