A message of discovery is limited by the memory of the process too

Cause: an unfinished list could take up to 4 MiB, which is more than the limit for peers at 32 MB leaves.

--- a/cherrygrade/platform/discovery.py
+++ b/cherrygrade/platform/discovery.py
@@ -14,6 +14,7 @@
 from cherrygrade.gateway.backoff import Backoff
 from cherrygrade.platform.endpoint_list import NO_VERSION, EndpointList
 from cherrygrade.platform.endpoint_watch import EndpointWatch, WatchCallbacks
+from cherrygrade.platform.json_object_stream import MAX_OBJECT_BYTES
 from cherrygrade.scheduling.model import Node
 
 MAX_RECONNECT_WAIT_MS = 250.0  # short, as discovery may be reachable for only a moment during an outage
@@ -30,6 +31,7 @@
         clock: Callable[[], float],
         endpoints_changed: Callable[[list[Node]], None],
         log: Callable[..., None],
+        max_message_bytes: int = MAX_OBJECT_BYTES,
     ) -> None:
         """Create a client; `start` connects it.
 
@@ -40,12 +42,14 @@
             clock: Returns the time in ms.
             endpoints_changed: Called with the changed nodes of each message that is not outdated.
             log: Writes a log event, given by its name and its facts as keywords.
+            max_message_bytes: Limit on each message of discovery; a longer one ends the watch.
         """
         self.address = address
         self.endpoint_list = endpoint_list
         self._clock = clock
         self._endpoints_changed = endpoints_changed
         self._log = log
+        self._max_message_bytes = max_message_bytes
         self._backoff = Backoff(name, max_ms=MAX_RECONNECT_WAIT_MS)
         self._watch: EndpointWatch | None = None
         self._old_watch: EndpointWatch | None = None
@@ -64,7 +68,7 @@
             silent=lambda: self._watch_silent(watch),
         )
         since_version = NO_VERSION if self._full_list_needed else self.endpoint_list.version
-        watch = self._watch = EndpointWatch(self.address, since_version, callbacks)
+        watch = self._watch = EndpointWatch(self.address, since_version, callbacks, self._max_message_bytes)
 
     def change_address(self, address: str) -> None:
         """Follow discovery at another address (host:port) from now on."""
--- a/cherrygrade/platform/endpoint_watch.py
+++ b/cherrygrade/platform/endpoint_watch.py
@@ -11,7 +11,7 @@
 
 from cherrygrade.http.writer import encode_request
 from cherrygrade.platform.endpoint_list import parse_address
-from cherrygrade.platform.json_object_stream import JsonObjectStream
+from cherrygrade.platform.json_object_stream import MAX_OBJECT_BYTES, JsonObjectStream
 from cherrygrade.platform.watch_liveness import WatchLiveness
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
@@ -34,13 +34,20 @@
 class EndpointWatch(asyncio.BufferedProtocol):
     """A connection to discovery, from its connect to its close."""
 
-    def __init__(self, address: str, since_version: int, callbacks: WatchCallbacks) -> None:
+    def __init__(
+        self,
+        address: str,
+        since_version: int,
+        callbacks: WatchCallbacks,
+        max_object_bytes: int = MAX_OBJECT_BYTES,
+    ) -> None:
         """Start to connect.
 
         Args:
             address: Discovery's host:port.
             since_version: The version after which changes are requested; if negative, the full list is.
             callbacks: Callbacks to the owner.
+            max_object_bytes: Limit on each JSON object that discovery sends.
         """
         self.address = address
         self.has_received = False
@@ -48,7 +55,7 @@
         self._since_version = since_version
         self._callbacks = callbacks
         self._buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
-        self._objects = JsonObjectStream()
+        self._objects = JsonObjectStream(max_object_bytes)
         self._parser: Any = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._is_closed = False
--- a/cherrygrade/platform/json_object_stream.py
+++ b/cherrygrade/platform/json_object_stream.py
@@ -19,8 +19,14 @@
 class JsonObjectStream:
     """Reads JSON objects that may span lines, and that arrive split or joined in any way."""
 
-    def __init__(self) -> None:
-        self._text = b""  # starts with the unfinished object; at most MAX_OBJECT_BYTES and one read
+    def __init__(self, max_object_bytes: int = MAX_OBJECT_BYTES) -> None:
+        """Create a stream.
+
+        Args:
+            max_object_bytes: Limit on an object; at most MAX_OBJECT_BYTES holds in any case.
+        """
+        self._max_object_bytes = min(max_object_bytes, MAX_OBJECT_BYTES)
+        self._text = b""  # starts with the unfinished object; at most the limit and one read
         self._scanned = 0  # bytes of `_text` whose brackets were counted
         self._depth = 0  # number of brackets open after the scanned bytes
 
@@ -36,7 +42,7 @@
             The objects that are complete now.
 
         Raises:
-            ValueError: The bytes are not a sequence of objects, or an object exceeds MAX_OBJECT_BYTES.
+            ValueError: The bytes are not a sequence of objects, or an object exceeds the limit.
         """
         self._text += data
         objects: list[Any] = []
@@ -48,8 +54,8 @@
                 if self._parse_line(objects):
                     continue
             if not self._parse_object(objects):
-                if len(self._text) > MAX_OBJECT_BYTES:
-                    raise ValueError("an object exceeds 4 MiB")
+                if len(self._text) > self._max_object_bytes:
+                    raise ValueError(f"an object exceeds {self._max_object_bytes} bytes")
                 return objects
 
     def _skip_white_space(self) -> None:
--- a/cherrygrade/platform/process.py
+++ b/cherrygrade/platform/process.py
@@ -144,6 +144,7 @@
             self.rounds.clock,
             self._endpoints_changed,
             self.log,
+            self.memory_limits.discovery_message_bytes,
         )
 
     def _make_shutdown(self) -> Shutdown:
--- a/tests/platform/test_watch_stream.py
+++ b/tests/platform/test_watch_stream.py
@@ -72,3 +72,11 @@
     assert liveness.deadline_ms == 100.0 + SILENCE_LIMIT_MS
     liveness.bytes_received(2100.0, complete_object=True, within_object=False)
     assert liveness.deadline_ms == 2100.0 + SILENCE_LIMIT_MS
+
+
+# Guards against a list that takes more memory than the limit of the process leaves for it.
+def test_object_longer_than_the_limit_is_refused_while_it_arrives():
+    stream = JsonObjectStream(1000)
+    assert stream.feed(b'{"hosts": "' + b"a" * 500) == []
+    with pytest.raises(ValueError, match="an object exceeds 1000 bytes"):
+        stream.feed(b"a" * 500)
