The client connection in shorter modules; one client's short requests leave others their turn

A connection has one next turn at most, and an answer that waits when the connection closes is written once.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -20,7 +20,7 @@
 MAX_FRAMING_FACTOR = 4  # bytes of a body as transferred, including chunk sizes and extensions, per body byte
 MAX_ERROR_CHARS = 200
 MESSAGE_BYTES = 1024  # memory of a message without its fields and its body
-FIELD_BYTES = 200  # memory of a field besides its name and its value
+FIELD_BYTES = 128  # memory of a field besides its name and its value
 # Scheme and authority of a request target in absolute form (RFC 9112, 3.2.2). They address this server and
 # are removed; only the path and the query are forwarded.
 ABSOLUTE_FORM_PREFIX = re.compile(rb"(?i:http)://[^/?#]+(?=/)")
--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from dataclasses import dataclass
 
 from cherrygrade.http.reader import HttpError, Message, closes_connection
 from cherrygrade.http.single_message_reader import SingleMessageReader
 from cherrygrade.http.writer import CONTINUE, encode_response
+from cherrygrade.platform.client_answers import (
+    NO_MEMORY,
+    NO_MEMORY_AFTER_SEND,
+    NOT_WHOLE,
+    OK,
+    REQUEST_TIMEOUT,
+    SERVICE_UNAVAILABLE,
+    Answer,
+)
 from cherrygrade.platform.connection_owner import ConnectionOwner
 from cherrygrade.platform.message_end import MAX_REQUEST_WAIT_MS, MessageEnd, request_end
 from cherrygrade.platform.peer_memory import CONNECTION_BYTES, REQUEST_BYTES
 from cherrygrade.platform.read_ahead import ReadAhead
 from cherrygrade.platform.request_parsing import PendingRequest
-from cherrygrade.platform.socket_events import CLOSED, READABLE, SocketEvents
+from cherrygrade.platform.socket_events import CLOSED, READABLE, TransportEvents
 
 # While a request is open, bytes behind it are read on, so that the client's close is noticed; a client that
 # sends more than this ahead gets an error.
@@ -24,33 +31,11 @@
 # After this process has closed its side, bytes that still arrive are discarded until the client closes. A
 # close with unread bytes resets the connection, and the client loses an answer that it has not read.
 MAX_DISCARDED_BYTES = 256 * 1024
-OK = 200
-BAD_REQUEST = 400
-SERVICE_UNAVAILABLE = 503
-REQUEST_TIMEOUT = 408
-BAD_GATEWAY = 502
-MAX_ERROR_ANSWER_BYTES = (
-    1024  # unsent bytes of a client beyond these are those of an answer that it does not read
-)
-NO_MEMORY = HttpError(
-    SERVICE_UNAVAILABLE, "there is no memory for this now: too much is unread or unfinished"
-)
-NO_MEMORY_AFTER_SEND = HttpError(
-    BAD_GATEWAY, "the request may have run; there is no memory for what follows it"
-)
+# Unsent bytes of a client beyond these are those of an answer that it does not read, not of an error.
+MAX_ERROR_ANSWER_BYTES = 1024
 MAX_REQUEST_LINE_BYTES = 2048  # of a request line that follows a request, this much is looked at
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """An answer that waits until the end of its request is certain."""
-
-    status: int
-    body: bytes
-    fields: bytes
-    close: bool
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection.
 
@@ -74,14 +59,14 @@
         self._message: Message | None = None  # of the open request; its body uses the budget until the answer
         self._message_end = MessageEnd.OPEN  # of the open request
         self._read_ahead = ReadAhead()
-        self._answer: _Answer | None = None  # to the open request; waits for the timer
+        self._answer: Answer | None = None  # to the open request; waits for the timer
         self._answer_timer: asyncio.TimerHandle | None = None
         self._discarded_bytes = 0
         self._transport: asyncio.Transport | None = None
-        self._socket_events: SocketEvents | None = None
+        self._events = TransportEvents()
         self._writing_paused = False
         self._serving = False  # `_serve_next` is running
-        self._turn_is_scheduled = False  # `_serve_next` will be called for messages that wait
+        self._next_turn: asyncio.Handle | None = None  # calls `_serve_next` for messages that wait
         self._close_after_answer = False  # the open request has `Connection: close`
 
     # Callbacks of the event loop.
@@ -90,6 +75,7 @@
         """Handle a client that was accepted."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._events.attach(transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         if self._owner.admit(self):
             self._owner.peer_memory.update(self)
@@ -125,7 +111,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection, whichever side closed it."""
         self._transport = None
-        self._socket_events = None
+        self._events.detach()
         self._client_closed()
         self._reader.close()
         self._owner.peer_memory.remove(self)
@@ -187,17 +173,17 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the kernel has unread bytes, which may be a request that has to be answered."""
-        return not self.is_closing and bool(self._pending_events() & READABLE)
+        return not self.is_closing and bool(self._events.pending() & READABLE)
 
     def check_request(self) -> bool:
         """Return whether the open request may be sent: the client has not closed, and it is whole.
 
         Called right before an attempt is sent. Bytes and the client's close may have reached the kernel and
-        not the event loop, which does not deliver them at all while reading is paused.
+        not the event loop.
         """
         if self.is_closing or self._transport is None:
             return False
-        events = self._pending_events()
+        events = self._events.pending()
         if events & CLOSED:
             self._client_closed()
             self.abort()
@@ -218,20 +204,10 @@
         Args:
             events: The pending events of the socket.
         """
-        if not self._read_ahead.size and events & READABLE and self._socket_events is not None:
-            return self._socket_events.peek(MAX_REQUEST_LINE_BYTES)
+        if not self._read_ahead.size and events & READABLE:
+            return self._events.peek(MAX_REQUEST_LINE_BYTES)
         return self._read_ahead.start(MAX_REQUEST_LINE_BYTES)
 
-    def _pending_events(self) -> int:
-        if self._socket_events is None:
-            if self._transport is None:
-                return CLOSED
-            sock: socket.socket | None = self._transport.get_extra_info("socket")
-            if sock is None or sock.fileno() < 0:
-                return CLOSED
-            self._socket_events = SocketEvents(sock.fileno(), CLOSED | READABLE)
-        return self._socket_events.pending()
-
     # Answering and closing; also called by the dispatcher.
 
     def answer(self, status: int, body: bytes = b"", fields: bytes = b"", close: bool = False) -> None:
@@ -244,7 +220,7 @@
             close: Close the connection after the answer. The client's `Connection: close` and a shutdown do
                 the same.
         """
-        self._answer = _Answer(status, body, fields, close)
+        self._answer = Answer(status, body, fields, close)
         wait_ms = 0.0
         if status == OK and self._message is not None and self._message_end is MessageEnd.OPEN:
             wait_ms = self._message.received_ms + MAX_REQUEST_WAIT_MS - self._owner.clock()
@@ -260,7 +236,7 @@
         if answer is None:
             return
         if answer.status == OK:
-            self._judge_request(self._following_bytes(self._pending_events()))
+            self._judge_request(self._following_bytes(self._events.pending()))
             if self._message_end is MessageEnd.IN_DOUBT:
                 return
         close = answer.close or self._close_after_answer or self._owner.closing
@@ -283,7 +259,10 @@
         """Close this side after the bytes written so far, then wait for the client's close."""
         if self.is_closing or self._transport is None:
             return
-        self._write_answer()
+        if self._answer is not None:  # it waits for the end of its request to become certain
+            self._close_after_answer = True
+            self._write_answer()
+            return
         self._stop_serving()
         self._owner.linger(self)
         if not self._transport.is_closing():
@@ -365,11 +344,14 @@
         if self._serving:  # called by an answer within the loop below, which continues by itself
             return
         self._serving = True
+        if self._next_turn is not None:
+            self._next_turn.cancel()
+            self._next_turn = None
         served = 0
         try:
             while self.request is None and not self.is_closing and self._read_message():
                 if served == MAX_SERVED_PER_TURN:
-                    self._schedule_turn()
+                    self._next_turn = asyncio.get_running_loop().call_soon(self._serve_next)
                     break
                 served += 1
                 self._serve(self._reader.messages.pop())
@@ -390,25 +372,16 @@
             self._transport.write(CONTINUE)
         return False
 
-    def _schedule_turn(self) -> None:
-        if not self._turn_is_scheduled:
-            self._turn_is_scheduled = True
-            asyncio.get_running_loop().call_soon(self._take_turn)
-
-    def _take_turn(self) -> None:
-        self._turn_is_scheduled = False
-        self._serve_next()
-
     def _serve(self, message: Message) -> None:
         self.has_requested = True
         self._owner.mark_active(self)
         self._message = message
         self._message_end = MessageEnd.OPEN
         self._close_after_answer = closes_connection(message)
-        if not self._judge_request(self._following_bytes(self._pending_events())):
+        if not self._judge_request(self._following_bytes(self._events.pending())):
             return
         if message.target == b"/ready" and message.method == b"GET":
-            self._answer = _Answer(OK if self._owner.ready else SERVICE_UNAVAILABLE, b"", b"", close=False)
+            self._answer = Answer(OK if self._owner.ready else SERVICE_UNAVAILABLE)
             self._write_answer()
             return
         try:
@@ -419,7 +392,7 @@
     def _refuse_open_request(self) -> None:
         """Refuse the open request, which the bytes behind it show not to be whole; it may have been sent."""
         self._abandon_request()
-        self._refuse(HttpError(BAD_REQUEST, "no request follows this one: is its Content-Length too small?"))
+        self._refuse(NOT_WHOLE)
 
     def _refuse(self, error: HttpError) -> None:
         self._owner.refused += 1
--- a/cherrygrade/platform/socket_events.py
+++ b/cherrygrade/platform/socket_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import select
 import socket
 
@@ -36,3 +37,35 @@
             return b""
         finally:
             sock.detach()
+
+
+class TransportEvents:
+    """Reads the pending events and bytes of the socket of a transport; without one it counts as closed."""
+
+    def __init__(self) -> None:
+        """Create an object without a transport."""
+        self._transport: asyncio.Transport | None = None
+        self._events: SocketEvents | None = None
+
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Watch the socket of a transport."""
+        self._transport = transport
+
+    def detach(self) -> None:
+        """Forget the transport, whose socket is closed."""
+        self._transport = self._events = None
+
+    def pending(self) -> int:
+        """Return the mask of events that are pending now; 0 for none."""
+        if self._events is None:
+            sock: socket.socket | None = None
+            if self._transport is not None:
+                sock = self._transport.get_extra_info("socket")
+            if sock is None or sock.fileno() < 0:
+                return CLOSED
+            self._events = SocketEvents(sock.fileno(), CLOSED | READABLE)
+        return self._events.pending()
+
+    def peek(self, max_bytes: int) -> bytes:
+        """Return the first unread bytes without consuming them; empty if there are none."""
+        return b"" if self._events is None else self._events.peek(max_bytes)
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -16,7 +16,7 @@
 from cherrygrade.gateway.lifecycle import EXIT_BROKEN, EXIT_CLEAN
 from cherrygrade.http.writer import encode_response
 from cherrygrade.platform import connection_pool, node_connection, process, round_carrier
-from cherrygrade.platform.client_connection import ClientConnection
+from cherrygrade.platform.client_connection import MAX_SERVED_PER_TURN, ClientConnection
 from cherrygrade.platform.config import ConfigError, read_config
 from cherrygrade.scheduling.model import Outcome
 from cherrygrade.scheduling.scheduler import Scheduler
@@ -727,3 +727,31 @@
     with pytest.raises(ConfigError) as error:
         read_config(site.env)
     assert str(error.value) == message
+
+
+# Guards against one client's many short requests that keep others waiting until all of them are answered.
+def test_other_clients_get_their_turn_between_the_requests_of_one(tmp_path):
+    async def case(site: PlatformSite) -> None:
+        await site.start()
+        clients = [await site.connect_client() for _ in range(2)]
+        await site.wait_until(lambda: len(site.dispatcher.client_registry.connections) == 2)
+        served = []
+        for connection in site.dispatcher.client_registry.connections:
+            serve = connection._serve
+
+            def record(message, serve=serve, connection=connection):
+                served.append(connection)
+                serve(message)
+
+            connection._serve = record
+        ready = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+        clients[0].writer.write(ready * 400)
+        clients[1].writer.write(ready)
+        assert (await clients[1].read_answer()).status == 200
+        other = (
+            served[-1] if served.count(served[-1]) == 1 else next(c for c in served if served.count(c) == 1)
+        )
+        assert served.index(other) <= 2 * MAX_SERVED_PER_TURN
+        assert [(await clients[0].read_answer()).status for _ in range(400)] == [200] * 400
+
+    run_case(tmp_path, case)
