Less work a request for judging and counting on the platform's path

Change: nothing is judged where nothing follows, the socket is not asked right behind a read that did not fill the buffer, and a reader without a message counts nothing at once.

--- a/cherrygrade/http/reader.py
+++ b/cherrygrade/http/reader.py
@@ -156,6 +156,8 @@
     @property
     def memory_bytes(self) -> int:
         """Memory of the message that is being read and of the complete ones."""
+        if self._message is None and not self.messages:
+            return 0
         size = sum(message.memory_bytes for message in self.messages)
         if self._message is not None:
             size += self._message.memory_bytes + self._head_bytes + len(self._body)
--- a/cherrygrade/http/request_start.py
+++ b/cherrygrade/http/request_start.py
@@ -25,6 +25,8 @@
     Args:
         data: The first bytes that have arrived; line ends before a request are skipped (RFC 9112, 2.2).
     """
+    if not data:
+        return RequestStart.UNDECIDED
     line, line_end, _ = data.lstrip(LINE_ENDS).partition(b"\r\n")
     method, *others = line.rstrip(b"\r").split(b" ")
     is_complete = bool(line_end)
--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -65,6 +65,7 @@
         self._transport: asyncio.Transport | None = None
         self._events = TransportEvents()
         self._writing_paused = False
+        self._may_have_more = False  # the last read has filled the buffer
         self._serving = False  # `_serve_next` is running
         self._next_turn: asyncio.Handle | None = None  # calls `_serve_next` for messages that wait
         self._close_after_answer = False  # the open request has `Connection: close`
@@ -95,6 +96,7 @@
                 self.abort()
             return
         self._read_ahead.append(self._owner.receive_buffer[:nbytes], self._owner.clock())
+        self._may_have_more = nbytes == len(self._owner.receive_buffer)
         if self.request is not None:
             self._judge_request(self._following_bytes())
         else:
@@ -192,18 +194,14 @@
 
     def _judge_request(self, following: bytes) -> bool:
         """Refuse the open request if the bytes behind it leave its end in doubt; return whether it stays."""
-        if self._message_end is MessageEnd.OPEN and self._message is not None:
+        if following and self._message_end is MessageEnd.OPEN and self._message is not None:
             self._message_end = request_end(self._message.framing, following)
             if self._message_end is MessageEnd.IN_DOUBT:
                 self._refuse_open_request()
         return not self.is_closing
 
     def _following_bytes(self, events: int = 0) -> bytes:
-        """Return the first bytes behind the open request, also if only the kernel has them.
-
-        Args:
-            events: The pending events of the socket.
-        """
+        """Return the first bytes behind the open request, also if by `events` only the kernel has them."""
         if not self._read_ahead.size and events & READABLE:
             return self._events.peek(MAX_REQUEST_LINE_BYTES)
         return self._read_ahead.start(MAX_REQUEST_LINE_BYTES)
@@ -376,9 +374,11 @@
         self.has_requested = True
         self._owner.mark_active(self)
         self._message = message
-        self._message_end = MessageEnd.OPEN
+        self._message_end = request_end(message.framing, b"")
         self._close_after_answer = closes_connection(message)
-        if not self._judge_request(self._following_bytes(self._events.pending())):
+        # A read that has not filled the buffer has left nothing in the kernel.
+        events = self._events.pending() if self._may_have_more else 0
+        if not self._judge_request(self._following_bytes(events)):
             return
         if message.target == b"/ready" and message.method == b"GET":
             self._answer = Answer(OK if self._owner.ready else SERVICE_UNAVAILABLE)
