A client that is cut off for memory holds nothing at once; lists of large fleets fit whatever the memory

Seen on a second reading of the series, not by users: (1) a client that was aborted for unread answers kept its bytes read ahead in the sum until the event loop reported its end, so that others gave up theirs for bytes that were gone already. (2) A connection at rest that had to give way got a 503 that nobody had asked for. (3) Below some 35 MB, or where the idle process takes more, a quarter of the limit is too little for an indented list of 3,200 nodes, and discovery would never be heard. Cause: (1) give_up aborted without _client_closed; (2) it refused whatever the client did; (3) MemoryLimits had no floor for discovery. Wording: "the largest" in place of "the hungriest". Why it works: the bytes are dropped before the sum is looked at again; nothing is written where nothing was begun.

--- a/cherrygrade/platform/client_connection.py
+++ b/cherrygrade/platform/client_connection.py
@@ -127,7 +127,6 @@
         """Continue to serve requests: the client has read enough of its answers."""
         self._writing_paused = False
         self._serve_next()
-        self._report_memory()
 
     # State that the dispatcher reads.
 
@@ -162,11 +161,14 @@
     def give_up(self) -> None:
         """Answer with an error and close, so that next to nothing is held; abort if answers are not read."""
         if self.is_closing or self.unsent_bytes > MAX_ERROR_ANSWER_BYTES:
+            self._client_closed()  # before the abort takes effect, so that no other gives up for its bytes
             self.abort()
-            return
-        has_open_request = self.request is not None
-        self._abandon_request()
-        self._refuse(NO_MEMORY_AFTER_SEND if has_open_request else NO_MEMORY)
+        elif self.is_idle and not self.within_message:
+            self.close_gracefully()
+        else:
+            has_open_request = self.request is not None
+            self._abandon_request()
+            self._refuse(NO_MEMORY_AFTER_SEND if has_open_request else NO_MEMORY)
 
     def _report_memory(self) -> None:
         if self._transport is not None:
@@ -180,8 +182,7 @@
     def check_request(self) -> bool:
         """Return whether the open request may be sent: the client has not closed, and it is whole.
 
-        Called right before an attempt is sent. Bytes and the client's close may have reached the kernel and
-        not the event loop.
+        Called right before an attempt; bytes and the close that only the kernel has so far count.
         """
         if self.is_closing or self._transport is None:
             return False
--- a/cherrygrade/platform/node_connection.py
+++ b/cherrygrade/platform/node_connection.py
@@ -240,7 +240,7 @@
 
     @property
     def idle_bytes(self) -> int:
-        """The part of `held_bytes` that no whole request needs: all of it, as the attempt can be repeated."""
+        """All of `held_bytes`: what a node sends may be malformed, and may be more than any request needs."""
         return self.held_bytes
 
     def give_up(self) -> None:
--- a/cherrygrade/platform/peer_memory.py
+++ b/cherrygrade/platform/peer_memory.py
@@ -25,13 +25,15 @@
 """Such tables: volumes, two generations of early rejections, and one part for call ids."""
 CALL_ID_BYTES = 200
 """Memory of a remembered call id."""
-TABLE_ENTRY_BYTES = 400
+TABLE_ENTRY_BYTES = 250
 """Memory of an entry of such a table, with its key."""
 MIN_TABLE_ENTRIES = 256
 LONG_BODIES_DIVISOR = 2
 """1/2 of the limit may be promised to long bodies of either direction, by their told lengths."""
 DISCOVERY_DIVISOR = 4
-"""1/4 of the limit is the size of the longest message of discovery."""
+"""1/4 of the limit is the size of the longest message of discovery, if that is enough for a list."""
+MIN_DISCOVERY_MESSAGE_BYTES = 2 * BYTES_PER_MB
+"""An indented list of the largest fleet, 3,200 nodes, fits."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +66,7 @@
             long_bodies_bytes=total // LONG_BODIES_DIVISOR,
             table_entries=max(MIN_TABLE_ENTRIES, tables_bytes // (TABLES * TABLE_ENTRY_BYTES)),
             call_ids=max(MIN_TABLE_ENTRIES, tables_bytes // (TABLES * CALL_ID_BYTES)),
-            discovery_message_bytes=total // DISCOVERY_DIVISOR,
+            discovery_message_bytes=max(MIN_DISCOVERY_MESSAGE_BYTES, total // DISCOVERY_DIVISOR),
         )
 
 
@@ -118,7 +120,7 @@
         self.total_bytes -= self._held.pop(holder, 0)
 
     def _reduce(self) -> None:
-        """Make connections give up what they hold, the hungriest first, until the limit holds."""
+        """Make connections give up what they hold, the largest first, until the limit holds."""
         self._is_reducing = True
         try:
             for holder in [*self._held]:  # unsent bytes become fewer without a report
--- a/tests/platform/test_peer_memory.py
+++ b/tests/platform/test_peer_memory.py
@@ -7,9 +7,12 @@
 import pytest
 from support.platform_site import PlatformSite, client_request, run_case
 
+from cherrygrade.platform.client_connection import ClientConnection
 from cherrygrade.platform.peer_memory import BYTES_PER_MB, MIN_LIMIT_BYTES, MemoryLimits, PeerMemory
 
 IDLE_BYTES = 20 * BYTES_PER_MB
+MAX_NODES = 3200
+LIST_ENTRY_BYTES = 400  # of an indented list
 
 
 class Holder:
@@ -26,7 +29,7 @@
         self.idle_bytes, self.request_bytes, self.gave_up = 10, 0, True
 
 
-def test_the_hungriest_give_up_until_the_limit_holds():
+def test_the_largest_give_up_until_the_limit_holds():
     memory = PeerMemory(1000)
     holders = [Holder(size) for size in (300, 100, 400, 150)]
     for holder in holders:
@@ -68,6 +71,41 @@
     assert limits.connections_bytes < spare_bytes // 2
     assert limits.long_bodies_bytes <= limits.connections_bytes
     assert limits.table_entries >= 256 and limits.call_ids >= 256
+    assert limits.discovery_message_bytes >= LIST_ENTRY_BYTES * MAX_NODES
+
+
+# Guards against other clients that give up for bytes of a client which is aborted already.
+def test_aborted_client_holds_nothing_at_once(tmp_path, monkeypatch):
+    async def case(site: PlatformSite) -> None:
+        node = await site.add_node()
+        dispatcher = await site.start()
+        node.script.append(None)
+        client = await site.connect_client()
+        client.writer.write(
+            client_request(X_Budget_Ms="2000") + client_request(method="PUT", body=bytes(60_000))
+        )
+        await site.wait_until(lambda: node.received and dispatcher.peer_memory.total_bytes > 60_000)
+        (connection,) = dispatcher.client_registry.connections
+        monkeypatch.setattr(
+            ClientConnection, "unsent_bytes", 10_000
+        )  # of an answer that the client leaves unread
+        connection.give_up()
+        assert connection.held_bytes < 20_000 and not dispatcher.round_carrier.open_requests
+
+    run_case(tmp_path, case)
+
+
+def test_idle_client_is_closed_without_an_answer(tmp_path):
+    async def case(site: PlatformSite) -> None:
+        await site.add_node()
+        dispatcher = await site.start()
+        client = await site.connect_client()
+        assert (await client.exchange(client_request())).status == 200
+        (connection,) = dispatcher.client_registry.connections
+        connection.give_up()
+        assert await client.read_answer() is None
+
+    run_case(tmp_path, case)
 
 
 def test_reached_limit_is_logged_with_the_counts(tmp_path):
