A memory test ends its usual client by a flag, not by a cancellation that may be dropped

Cause, by the traceback: the test waits for its cancelled task of usual reads. That task waits in asyncio.wait_for, which in Python 3.11 drops a cancellation that comes with the result, so the task went on reading for ever; the dispatcher answered all along. Change: the task looks at an event between two reads, and is awaited; its last answer counts too. Nothing else of the test is changed.

--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -83,9 +83,9 @@
     return writers
 
 
-async def use_as_usual(process: PlatformProcess, statuses: list[int]) -> None:
-    """Send one read after another, each on a new connection."""
-    while True:
+async def use_as_usual(process: PlatformProcess, statuses: list[int], stop: asyncio.Event) -> None:
+    """Send one read after another, each on a new connection, until `stop` is set."""
+    while not stop.is_set():
         statuses.append(await process.status_on_new_connection(X_Budget_Ms="2000"))
         await asyncio.sleep(0.05)
 
@@ -109,11 +109,12 @@
 def test_memory_stays_within_the_limit_and_usual_clients_are_served(tmp_path, memory_mb: int, attack: Attack):
     async def case(process: PlatformProcess) -> None:
         statuses: list[int] = []
+        stop = asyncio.Event()
         clients = await connect_many(process)
-        usual = asyncio.create_task(use_as_usual(process, statuses))
+        usual = asyncio.create_task(use_as_usual(process, statuses, stop))
         await attack(process, clients)
-        usual.cancel()
-        await asyncio.wait([usual])
+        stop.set()  # not a cancellation, which `asyncio.wait_for` drops if an answer comes with it
+        await usual
         assert process.process.returncode is None, process.read_log()
         assert process.peak_mib <= memory_mb, process.read_log()
         for writer in clients:
